--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,257 @@
+// Package caller speaks to callers: chat completions, plain services, models
+// and addresses over HTTP.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/claimstore"
+	"knapweedwell/config"
+	"knapweedwell/dispatch"
+	"knapweedwell/heartbeat"
+	"knapweedwell/invariant"
+	"knapweedwell/kernel"
+	"knapweedwell/owner"
+	"knapweedwell/request"
+	"knapweedwell/revision"
+)
+
+// Headers of the caller interface.
+const (
+	ClassHeader     = "Knapweedwell-Class"
+	TimeoutHeader   = "Knapweedwell-Timeout"
+	RequestIDHeader = "Knapweedwell-Request-Id"
+	ReplayedHeader  = "Knapweedwell-Replayed"
+	KeyHeader       = "Idempotency-Key"
+)
+
+const (
+	// AddressLifetime is how long callers keep an address answer.
+	AddressLifetime   = 10 * time.Second
+	defaultTimeout    = 5 * time.Minute
+	maxTimeout        = 30 * time.Minute
+	headerTimeout     = 10 * time.Second
+	bodyTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	writeTimeout      = 30 * time.Second // writeTimeout is how long a caller may leave one event unread.
+	maxHeaderBytes    = 32 << 10
+	maxKeyBytes       = 256
+	shortRequestIDLen = 13
+)
+
+// Server serves callers. The exported fields are set before Run.
+type Server struct {
+	Self         string
+	Region       string
+	Address      string
+	MaxBodyBytes int
+	Keeper       *revision.Keeper
+	Beats        *heartbeat.Service
+	Owners       *owner.Service
+	Claims       *claimstore.Desk
+	Dispatch     *dispatch.Service
+	Check        *invariant.Checker
+	Listen       func(network, address string) (net.Listener, error)
+	Log          logrus.FieldLogger
+
+	server   *http.Server
+	ended    chan struct{}
+	leaving  atomic.Bool
+	accepted atomic.Int64
+	answered atomic.Int64
+}
+
+// Run starts listening.
+func (s *Server) Run(*kernel.Kernel) error {
+	l, err := s.Listen("tcp", s.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	s.Address = l.Addr().String()
+	s.server = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	s.ended = make(chan struct{})
+	go func() {
+		defer close(s.ended)
+		_ = s.server.Serve(l)
+	}()
+	return nil
+}
+
+// Leave lets each connection end after its next answer. Idle connections stay
+// open, because a request may be on its way.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// closing tells callers of a leaving instance to connect elsewhere.
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Drain stops accepting and waits for all requests under way, or for the end
+// of the context. It reports whether all of them have ended.
+func (s *Server) Drain(ctx context.Context) bool {
+	err := s.server.Shutdown(ctx)
+	s.Check.Check(invariant.NoCut, err != nil || s.accepted.Load() == s.answered.Load(),
+		"planned stop ended with %d of %d requests answered", s.answered.Load(), s.accepted.Load())
+	return err == nil
+}
+
+// Close closes all connections.
+func (s *Server) Close() error {
+	err := s.server.Close()
+	<-s.ended
+	return err
+}
+
+func (s *Server) routes() http.Handler {
+	m := mux.NewRouter()
+	m.Use(s.closing)
+	m.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	m.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
+	m.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
+	m.HandleFunc("/v1/services/{service}", s.service)
+	m.HandleFunc("/v1/services/{service}/{path:.*}", s.service)
+	m.NotFoundHandler = http.HandlerFunc(notFound)
+	m.MethodNotAllowedHandler = http.HandlerFunc(wrongMethod)
+	return m
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	f := request.Malformed([]request.Finding{{Place: "path", Message: "no resource " + r.URL.Path}})
+	f.Status = http.StatusNotFound
+	writeFailure(w, f)
+}
+
+func wrongMethod(w http.ResponseWriter, r *http.Request) {
+	f := request.Malformed([]request.Finding{{Place: "method", Message: r.Method + " is not allowed on " + r.URL.Path}})
+	f.Status = http.StatusMethodNotAllowed
+	writeFailure(w, f)
+}
+
+// identify returns the snapshot in force and the organisation of a request.
+func (s *Server) identify(r *http.Request) (*revision.Snapshot, *config.Organisation, *request.Failure) {
+	snap := s.Keeper.Current()
+	if snap == nil {
+		return nil, nil, request.Unavailable("this instance has no configuration yet")
+	}
+	if s.Keeper.CutOff() {
+		return nil, nil, request.Unavailable("this instance reaches neither the platform nor another instance; use another address")
+	}
+	o := snap.Config.ByKey(bearer(r))
+	if o == nil {
+		return nil, nil, request.Denied("the bearer key in the Authorization header is not known")
+	}
+	return snap, o, nil
+}
+
+// base fills what all kinds of request share.
+func (s *Server) base(r *http.Request, snap *revision.Snapshot, o *config.Organisation) (*request.Request, []request.Finding) {
+	var findings []request.Finding
+	class := r.Header.Get(ClassHeader)
+	if class == "" {
+		class = o.DefaultClass
+	}
+	c := snap.Config.Classes[class]
+	if c == nil || !o.May(class) {
+		findings = append(findings, request.Finding{Place: "header " + ClassHeader, Message: "class " + class + " is not one of the organisation's classes"})
+	}
+	timeout, ok := parseTimeout(r.Header.Get(TimeoutHeader))
+	if !ok {
+		findings = append(findings, request.Finding{Place: "header " + TimeoutHeader, Message: "expected a duration up to 30m, such as 20s"})
+	}
+	key := r.Header.Get(KeyHeader)
+	if len(key) > maxKeyBytes {
+		findings = append(findings, request.Finding{Place: "header " + KeyHeader, Message: "longer than 256 bytes"})
+	}
+	now := time.Now()
+	req := &request.Request{
+		ID:           s.Self + "-" + uuid.NewString()[:shortRequestIDLen],
+		Organisation: o.Name,
+		Class:        class,
+		Key:          key,
+		Method:       r.Method,
+		ContentType:  r.Header.Get("Content-Type"),
+		Arrived:      now,
+		Deadline:     now.Add(timeout),
+	}
+	if c != nil {
+		req.Rank = c.Rank
+	}
+	return req, findings
+}
+
+func parseTimeout(text string) (time.Duration, bool) {
+	if text == "" {
+		return defaultTimeout, true
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > maxTimeout {
+		return defaultTimeout, false
+	}
+	return d, true
+}
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, func(snap *revision.Snapshot, req *request.Request) []request.Finding {
+		return readChat(snap.Config, req)
+	})
+}
+
+// service serves any method on /v1/services/.
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	s.serve(w, r, func(snap *revision.Snapshot, req *request.Request) []request.Finding {
+		return readService(snap.Config, req, vars["service"], vars["path"], r.URL.RawQuery)
+	})
+}
+
+type reader func(snap *revision.Snapshot, req *request.Request) []request.Finding
+
+// serve reads, checks and dispatches one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, read reader) {
+	s.accepted.Add(1)
+	defer s.answered.Add(1)
+	snap, o, f := s.identify(r)
+	if f != nil {
+		writeFailure(w, f)
+		return
+	}
+	req, findings := s.base(r, snap, o)
+	w.Header().Set(RequestIDHeader, req.ID)
+	body, f := s.body(w, r)
+	if f != nil {
+		writeFailure(w, f)
+		return
+	}
+	req.Body = body
+	findings = append(findings, read(snap, req)...)
+	if len(findings) > 0 {
+		writeFailure(w, request.Malformed(findings))
+		return
+	}
+	out := &output{w: w, control: http.NewResponseController(w)}
+	if f := s.Dispatch.Serve(r.Context(), req, dispatch.Sink{Whole: out.whole, Event: out.event}); f != nil {
+		out.fail(f)
+	}
+}
--- /dev/null
+++ b/claim/table.go
@@ -0,0 +1,188 @@
+package claim
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	ticketPrefix = "kw1"
+	// TicketLifetime is how long after it was given out a ticket may be used
+	// first.
+	TicketLifetime = 10 * time.Minute
+	// RecordLifetime is how long a ticket's record is kept. It is longer than
+	// the lifetime, so that a ticket without a record is either unused or
+	// expired.
+	RecordLifetime = 30 * time.Minute
+	maxRecords     = 200000
+)
+
+// Ticket is an idempotency key that names the incarnation that decides on it.
+type Ticket struct {
+	Identity string        // Identity is name@incarnation of the instance.
+	Issued   time.Duration // Issued is the age of the incarnation at issue.
+	Nonce    string
+}
+
+// String returns the ticket's text.
+func (t Ticket) String() string {
+	return fmt.Sprintf("%s.%s.%d.%s", ticketPrefix, t.Identity, t.Issued.Milliseconds(), t.Nonce)
+}
+
+// ParseTicket reads a ticket. Other keys are not tickets.
+func ParseTicket(key string) (Ticket, bool) {
+	rest, ok := strings.CutPrefix(key, ticketPrefix+".")
+	if !ok {
+		return Ticket{}, false
+	}
+	at := strings.LastIndex(rest, ".")
+	if at < 0 {
+		return Ticket{}, false
+	}
+	rest, nonce := rest[:at], rest[at+1:]
+	at = strings.LastIndex(rest, ".")
+	if at < 0 {
+		return Ticket{}, false
+	}
+	ms, err := strconv.ParseInt(rest[at+1:], 10, 64)
+	if err != nil || ms < 0 {
+		return Ticket{}, false
+	}
+	return Ticket{Identity: rest[:at], Issued: time.Duration(ms) * time.Millisecond, Nonce: nonce}, true
+}
+
+// Record is the state of one used ticket.
+type Record struct {
+	Claim   Claim
+	Outcome *Outcome // Outcome is nil while the request runs.
+	Taken   time.Duration
+}
+
+// Table decides on the tickets of one incarnation. It is a pure function of
+// its calls.
+type Table struct {
+	Identity string
+	Started  time.Time
+
+	records map[string]*Record
+	sealed  bool // sealed is set once the table was handed over.
+}
+
+// NewTable returns an empty table.
+func NewTable(identity string, started time.Time) *Table {
+	return &Table{Identity: identity, Started: started, records: map[string]*Record{}}
+}
+
+// Issue returns a new ticket.
+func (t *Table) Issue(now time.Time) string {
+	return Ticket{Identity: t.Identity, Issued: now.Sub(t.Started), Nonce: uuid.NewString()}.String()
+}
+
+func recordKey(organisation, key string) string {
+	return organisation + "\x00" + key
+}
+
+// Take decides on a claim. Taking again with the same nonce gives the same
+// answer.
+func (t *Table) Take(now time.Time, c Claim) Answer {
+	if t.sealed {
+		return Unsure{Reason: "the ticket's instance has handed its tickets over"}
+	}
+	if r := t.records[recordKey(c.Organisation, c.Key)]; r != nil {
+		return r.Answer(c)
+	}
+	ticket, ok := ParseTicket(c.Key)
+	age := now.Sub(t.Started)
+	switch {
+	case !ok || ticket.Issued > age:
+		return Unsure{Reason: "the ticket was not given out by this instance"}
+	case age-ticket.Issued > TicketLifetime:
+		return Unsure{Reason: "the ticket has expired"}
+	case len(t.records) >= maxRecords:
+		return Unsure{Reason: "the instance holds too many tickets"}
+	}
+	t.records[recordKey(c.Organisation, c.Key)] = &Record{Claim: c, Taken: age}
+	return Yours{}
+}
+
+// Answer decides on a claim of the key that the record belongs to.
+func (r *Record) Answer(c Claim) Answer {
+	switch {
+	case r.Claim.Digest != c.Digest:
+		return Mismatch{}
+	case r.Outcome != nil:
+		return Done{Outcome: *r.Outcome}
+	case r.Claim.Nonce == c.Nonce:
+		return Yours{}
+	}
+	return Busy{Holder: r.Claim.Holder}
+}
+
+// Finish records the outcome of a claim.
+func (t *Table) Finish(c Claim, o Outcome) {
+	r := t.records[recordKey(c.Organisation, c.Key)]
+	if r != nil && r.Claim.Nonce == c.Nonce {
+		r.Outcome = &o
+	}
+}
+
+// Release gives a claim back whose request was handed to no upstream.
+func (t *Table) Release(c Claim) {
+	key := recordKey(c.Organisation, c.Key)
+	r := t.records[key]
+	if r != nil && r.Claim.Nonce == c.Nonce && r.Outcome == nil {
+		delete(t.records, key)
+	}
+}
+
+// Expire drops the records that are older than RecordLifetime.
+func (t *Table) Expire(now time.Time) {
+	age := now.Sub(t.Started)
+	for key, r := range t.records {
+		if age-r.Taken > RecordLifetime && r.Outcome != nil {
+			delete(t.records, key)
+		}
+	}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	return len(t.records)
+}
+
+// Export is a table as it is handed to a successor.
+type Export struct {
+	Identity string
+	Age      time.Duration // Age is that of the incarnation at the handover.
+	Records  []Record
+}
+
+// Seal ends the table's decisions and returns its contents.
+func (t *Table) Seal(now time.Time) Export {
+	t.sealed = true
+	e := Export{Identity: t.Identity, Age: now.Sub(t.Started)}
+	for _, r := range t.records {
+		e.Records = append(e.Records, *r)
+	}
+	return e
+}
+
+// Unseal takes the decisions back. It is called only if the handover is
+// certain to have failed.
+func (t *Table) Unseal() {
+	t.sealed = false
+}
+
+// Import returns the table of a predecessor, as its successor keeps it.
+func Import(now time.Time, e Export) *Table {
+	t := NewTable(e.Identity, now.Add(-e.Age))
+	for i := range e.Records {
+		r := e.Records[i]
+		t.records[recordKey(r.Claim.Organisation, r.Claim.Key)] = &r
+	}
+	return t
+}
--- /dev/null
+++ b/claimstore/desk.go
@@ -0,0 +1,370 @@
+package claimstore
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/claim"
+	"knapweedwell/heartbeat"
+	"knapweedwell/kernel"
+	"knapweedwell/member"
+	"knapweedwell/peer"
+)
+
+const (
+	takeMethod    = "Claim.Take"
+	finishMethod  = "Claim.Finish"
+	releaseMethod = "Claim.Release"
+	adoptMethod   = "Claim.Adopt"
+	peerTimeout   = 1500 * time.Millisecond
+	takeTimeout   = 5 * time.Second
+	expirePeriod  = time.Minute
+)
+
+// Desk takes claims to where they are decided. The exported fields are set
+// before Run.
+type Desk struct {
+	Identity string
+	Store    *Store
+	Peers    *peer.Node
+	Beats    *heartbeat.Service
+	Log      logrus.FieldLogger
+
+	mu        sync.Mutex
+	table     *claim.Table
+	adopted   map[string]*claim.Table // adopted holds predecessors' tables by identity.
+	successor string                  // successor is the peer address that took the table over.
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// Prepare registers the handlers. It is called before the peer node runs.
+func (d *Desk) Prepare() {
+	d.table = claim.NewTable(d.Identity, time.Now())
+	d.adopted = map[string]*claim.Table{}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.Peers.Handle(takeMethod, d.serveTake)
+	d.Peers.Handle(finishMethod, d.serveFinish)
+	d.Peers.Handle(releaseMethod, d.serveRelease)
+	d.Peers.Handle(adoptMethod, d.serveAdopt)
+}
+
+// Run starts to expire old records.
+func (d *Desk) Run(*kernel.Kernel) error {
+	d.done.Add(1)
+	go d.expireLoop()
+	return nil
+}
+
+// Close waits for the outcomes that are still being saved, up to their own
+// limit.
+func (d *Desk) Close() error {
+	d.cancel()
+	d.done.Wait()
+	return nil
+}
+
+func (d *Desk) expireLoop() {
+	defer d.done.Done()
+	ticker := time.NewTicker(expirePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.expire(now)
+		}
+	}
+}
+
+func (d *Desk) expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Expire(now)
+	for _, t := range d.adopted {
+		t.Expire(now)
+	}
+}
+
+// Issue returns a new ticket.
+func (d *Desk) Issue() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Issue(time.Now())
+}
+
+// Tickets returns the number of records held.
+func (d *Desk) Tickets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.table.Len()
+	for _, t := range d.adopted {
+		n += t.Len()
+	}
+	return n
+}
+
+// place is where a claim is decided.
+type place struct {
+	store   bool
+	table   *claim.Table
+	address string // address is the peer that decides, if it is another instance.
+	lost    bool   // lost tells that nobody can decide any more.
+}
+
+// locate finds where a claim is decided.
+func (d *Desk) locate(key string) place {
+	ticket, ok := claim.ParseTicket(key)
+	if !ok {
+		return place{store: true}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ticket.Identity == d.Identity && d.successor == "" {
+		return place{table: d.table}
+	}
+	if ticket.Identity == d.Identity {
+		return place{address: d.successor}
+	}
+	if t := d.adopted[ticket.Identity]; t != nil {
+		return place{table: t}
+	}
+	return d.locatePeer(ticket.Identity)
+}
+
+func (d *Desk) locatePeer(identity string) place {
+	p := place{lost: true}
+	d.Beats.With(func(v *member.View) {
+		successor, ended := v.Ended(identity)
+		if successor != "" {
+			m, ok := v.Get(successor)
+			p = place{address: m.Peer, lost: !ok}
+			return
+		}
+		name, _, _ := member.ParseIdentity(identity)
+		m, ok := v.Get(name)
+		if ok && !ended && m.Identity() == identity {
+			p = place{address: m.Peer}
+		}
+	})
+	return p
+}
+
+// Take asks whether the claim's request may run. It gives up with Unsure.
+func (d *Desk) Take(ctx context.Context, c claim.Claim) claim.Answer {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	answer, err := backoff.Retry(ctx, func() (claim.Answer, error) {
+		return d.takeOnce(ctx, c)
+	}, backoff.WithMaxElapsedTime(takeTimeout))
+	if err != nil {
+		return claim.Unsure{Reason: "the instance that gave the ticket out did not answer"}
+	}
+	return answer
+}
+
+func (d *Desk) takeOnce(ctx context.Context, c claim.Claim) (claim.Answer, error) {
+	p := d.locate(c.Key)
+	switch {
+	case p.store:
+		return d.Store.Take(ctx, c), nil
+	case p.table != nil:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return p.table.Take(time.Now(), c), nil
+	case p.lost:
+		return claim.Unsure{Reason: "the instance that gave the ticket out has ended"}, nil
+	}
+	var w wireAnswer
+	if err := d.call(ctx, p.address, takeMethod, c, &w); err != nil {
+		return nil, err
+	}
+	return w.answer(), nil
+}
+
+func (d *Desk) call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return d.Peers.Call(ctx, address, method, params, result)
+}
+
+// Finish saves the outcome in the background.
+func (d *Desk) Finish(c claim.Claim, o claim.Outcome) {
+	d.background(finishTimeout, func(ctx context.Context) error { return d.finishOnce(ctx, c, o) })
+}
+
+// Release gives the claim back in the background. The request must not have
+// been handed to any upstream.
+func (d *Desk) Release(c claim.Claim) {
+	d.background(finishTimeout, func(ctx context.Context) error { return d.releaseOnce(ctx, c) })
+}
+
+func (d *Desk) background(limit time.Duration, f func(context.Context) error) {
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_, err := backoff.Retry(ctx, func() (bool, error) { return true, f(ctx) }, backoff.WithMaxElapsedTime(limit))
+		if err != nil {
+			d.Log.WithField("Error", err.Error()).Warn("a claim was not settled")
+		}
+	}()
+}
+
+func (d *Desk) finishOnce(ctx context.Context, c claim.Claim, o claim.Outcome) error {
+	p := d.locate(c.Key)
+	switch {
+	case p.store:
+		return d.Store.Finish(ctx, c, o)
+	case p.table != nil:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		p.table.Finish(c, o)
+		return nil
+	case p.lost:
+		return nil
+	}
+	return d.call(ctx, p.address, finishMethod, settled{Claim: c, Outcome: o}, nil)
+}
+
+func (d *Desk) releaseOnce(ctx context.Context, c claim.Claim) error {
+	p := d.locate(c.Key)
+	switch {
+	case p.store:
+		return d.Store.Release(ctx, c)
+	case p.table != nil:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		p.table.Release(c)
+		return nil
+	case p.lost:
+		return nil
+	}
+	return d.call(ctx, p.address, releaseMethod, c, nil)
+}
+
+// HandOver seals the ticket table and gives it to the first of the peers that
+// takes it. It returns the name of the successor, empty if there is none.
+func (d *Desk) HandOver(ctx context.Context, to []member.Member) string {
+	d.mu.Lock()
+	exports := []claim.Export{d.table.Seal(time.Now())}
+	for _, t := range d.adopted {
+		exports = append(exports, t.Seal(time.Now()))
+	}
+	d.mu.Unlock()
+	for _, m := range to {
+		if err := d.call(ctx, m.Peer, adoptMethod, exports, nil); err != nil {
+			continue
+		}
+		d.mu.Lock()
+		d.successor = m.Peer
+		d.adopted = map[string]*claim.Table{}
+		d.mu.Unlock()
+		return m.Name
+	}
+	return ""
+}
+
+// settled is a claim with its outcome.
+type settled struct {
+	Claim   claim.Claim
+	Outcome claim.Outcome
+}
+
+func (d *Desk) serveTake(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var c claim.Claim
+	if err := json.Unmarshal(params, &c); err != nil {
+		return nil, err
+	}
+	if d.locate(c.Key).store {
+		return nil, errors.New("the key is not a ticket")
+	}
+	a, err := d.takeOnce(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return newWireAnswer(a), nil
+}
+
+func (d *Desk) serveFinish(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var s settled
+	if err := json.Unmarshal(params, &s); err != nil {
+		return nil, err
+	}
+	return nil, d.finishOnce(ctx, s.Claim, s.Outcome)
+}
+
+func (d *Desk) serveRelease(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var c claim.Claim
+	if err := json.Unmarshal(params, &c); err != nil {
+		return nil, err
+	}
+	return nil, d.releaseOnce(ctx, c)
+}
+
+// serveAdopt takes over a leaving instance's tables. A repeated handover does
+// not overwrite what was decided since the first.
+func (d *Desk) serveAdopt(_ context.Context, from string, params json.RawMessage) (any, error) {
+	var exports []claim.Export
+	if err := json.Unmarshal(params, &exports); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.successor != "" {
+		return nil, errors.New("this instance is leaving itself")
+	}
+	for _, e := range exports {
+		if d.adopted[e.Identity] == nil {
+			d.adopted[e.Identity] = claim.Import(time.Now(), e)
+		}
+	}
+	d.Log.WithField("Instance", from).Info("tickets were taken over")
+	return nil, nil
+}
+
+// wireAnswer is a claim's answer as it is sent to peers.
+type wireAnswer struct {
+	Kind    string
+	Outcome claim.Outcome
+	Text    string
+}
+
+func newWireAnswer(a claim.Answer) wireAnswer {
+	switch a := a.(type) {
+	case claim.Yours:
+		return wireAnswer{Kind: "Yours"}
+	case claim.Done:
+		return wireAnswer{Kind: "Done", Outcome: a.Outcome}
+	case claim.Busy:
+		return wireAnswer{Kind: "Busy", Text: a.Holder}
+	case claim.Mismatch:
+		return wireAnswer{Kind: "Mismatch"}
+	case claim.Unsure:
+		return wireAnswer{Kind: "Unsure", Text: a.Reason}
+	}
+	return wireAnswer{Kind: "Unsure"}
+}
+
+func (w wireAnswer) answer() claim.Answer {
+	switch w.Kind {
+	case "Yours":
+		return claim.Yours{}
+	case "Done":
+		return claim.Done{Outcome: w.Outcome}
+	case "Busy":
+		return claim.Busy{Holder: w.Text}
+	case "Mismatch":
+		return claim.Mismatch{}
+	}
+	return claim.Unsure{Reason: w.Text}
+}
--- /dev/null
+++ b/config/diff.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"fmt"
+
+	"knapweedwell/inifile"
+)
+
+// Change is one difference between two configuration texts.
+type Change struct {
+	Section string
+	Key     string // Key is empty if the whole section came or went.
+	Old     string
+	New     string
+}
+
+// String renders the change as a line that begins with +, - or ~.
+func (c Change) String() string {
+	switch {
+	case c.Key == "" && c.Old == "":
+		return fmt.Sprintf("+ [%s]", c.Section)
+	case c.Key == "":
+		return fmt.Sprintf("- [%s]", c.Section)
+	case c.Old == "":
+		return fmt.Sprintf("+ [%s] %s = %s", c.Section, c.Key, c.New)
+	case c.New == "":
+		return fmt.Sprintf("- [%s] %s = %s", c.Section, c.Key, c.Old)
+	}
+	return fmt.Sprintf("~ [%s] %s = %s (was %s)", c.Section, c.Key, c.New, c.Old)
+}
+
+// Diff lists the differences from the old text to the new one, by section and
+// key.
+func Diff(before, after string) []Change {
+	old, now := flatten(before), flatten(after)
+	var changes []Change
+	for _, header := range sortedKeys(union(old, now)) {
+		changes = append(changes, diffSection(header, old[header], now[header])...)
+	}
+	return changes
+}
+
+func diffSection(header string, old, now map[string]string) []Change {
+	switch {
+	case old == nil:
+		changes := []Change{{Section: header, New: header}}
+		return append(changes, diffKeys(header, nil, now)...)
+	case now == nil:
+		return []Change{{Section: header, Old: header}}
+	}
+	return diffKeys(header, old, now)
+}
+
+func diffKeys(header string, old, now map[string]string) []Change {
+	keys := map[string]bool{}
+	for key := range old {
+		keys[key] = true
+	}
+	for key := range now {
+		keys[key] = true
+	}
+	var changes []Change
+	for _, key := range sortedKeys(keys) {
+		if old[key] != now[key] {
+			changes = append(changes, Change{Section: header, Key: key, Old: old[key], New: now[key]})
+		}
+	}
+	return changes
+}
+
+func flatten(text string) map[string]map[string]string {
+	sections := map[string]map[string]string{}
+	for _, s := range inifile.Parse("", text).Sections {
+		keys := map[string]string{}
+		for key, v := range s.Keys {
+			keys[key] = v.Text
+		}
+		sections[s.Header()] = keys
+	}
+	return sections
+}
+
+func union(a, b map[string]map[string]string) map[string]bool {
+	all := map[string]bool{}
+	for key := range a {
+		all[key] = true
+	}
+	for key := range b {
+		all[key] = true
+	}
+	return all
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,264 @@
+// Package demo runs one instance with stand-ins inside one process and sends
+// it real requests through real sockets.
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/config"
+	"knapweedwell/instance"
+	"knapweedwell/invariant"
+	"knapweedwell/operator"
+	"knapweedwell/revision"
+	"knapweedwell/setting"
+	"knapweedwell/standin/engine"
+	"knapweedwell/standin/load"
+	"knapweedwell/standin/platform"
+	"knapweedwell/standin/service"
+)
+
+const (
+	anyPort       = "127.0.0.1:0"
+	riderKey      = "demo-rider-key"
+	shopKey       = "demo-shop-key"
+	readyTimeout  = 10 * time.Second
+	readyPeriod   = 50 * time.Millisecond
+	headerTimeout = 5 * time.Second
+	loadTime      = 4 * time.Second
+)
+
+// Run runs the demonstration and prints what callers get.
+func Run(ctx context.Context, out io.Writer) error {
+	d := &demo{out: out}
+	defer d.close()
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	if err := d.apply(ctx); err != nil {
+		return err
+	}
+	if err := d.answers(ctx); err != nil {
+		return err
+	}
+	return d.load(ctx)
+}
+
+type demo struct {
+	out      io.Writer
+	instance *instance.Instance
+	client   operator.Client
+	servers  []*http.Server
+	engines  []string
+	service  string
+	cancel   context.CancelFunc
+}
+
+func (d *demo) close() {
+	if d.instance != nil {
+		_ = d.instance.Close()
+	}
+	if d.cancel != nil {
+		d.cancel()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
+// serve serves a stand-in on a free port and returns its address.
+func (d *demo) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	d.servers = append(d.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+func (d *demo) start(ctx context.Context) error {
+	ctx, d.cancel = context.WithCancel(ctx)
+	store, err := d.serve(platform.New().Handler())
+	if err != nil {
+		return err
+	}
+	for _, name := range []string{"planner-1", "planner-2"} {
+		e := engine.New(name)
+		go e.Run(ctx)
+		address, err := d.serve(e.Handler())
+		if err != nil {
+			return err
+		}
+		d.engines = append(d.engines, address)
+	}
+	d.service, err = d.serve(service.New("booking").Handler())
+	if err != nil {
+		return err
+	}
+	return d.startInstance(store)
+}
+
+func (d *demo) startInstance(store string) error {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	i := &instance.Instance{
+		Settings: &setting.Settings{
+			Name: "demo", Region: "Nairobi", Zone: "nairobi-a", Caller: anyPort, Peer: anyPort, Operator: anyPort,
+			Platform: store, MaxBodyBytes: 1 << 20, MaxRequests: 1000, Policy: "tiered",
+		},
+		Dial:   (&net.Dialer{}).DialContext,
+		Listen: net.Listen,
+		Log:    log,
+		Check:  &invariant.Checker{Panic: true},
+	}
+	if err := i.Run(); err != nil {
+		return err
+	}
+	d.instance = i
+	d.client = operator.Client{Address: i.Operator.Address}
+	return nil
+}
+
+// configuration returns the demonstration's configuration text.
+func (d *demo) configuration() string {
+	var b strings.Builder
+	b.WriteString("[Region Nairobi]\n\n[Tier Urgent]\nRank = 1\nPreempts = true\n\n[Tier Routine]\nRank = 2\n\n")
+	b.WriteString("[Class RiderPlan]\nTier = Urgent\nFirstToken = 1.4s\nBetweenToken = 62ms\n\n")
+	b.WriteString("[Class Booking]\nTier = Urgent\nWhole = 2s\n\n")
+	b.WriteString("[Class ShopReply]\nTier = Routine\nFirstToken = 3s\n\n")
+	fmt.Fprintf(&b, "[Organisation Riders]\nKeySHA256 = %s\nDefaultClass = RiderPlan\nClasses = RiderPlan, Booking\n\n", config.HashKey(riderKey))
+	fmt.Fprintf(&b, "[Organisation Shops]\nKeySHA256 = %s\nDefaultClass = ShopReply\n\n", config.HashKey(shopKey))
+	b.WriteString("[Model planner]\n\n[Service booking]\nIdempotent = false\n\n")
+	for n, address := range d.engines {
+		fmt.Fprintf(&b, "[Upstream planner-%d]\nModel = planner\nAddress = %s\nRegion = Nairobi\nZone = nairobi-a\n\n", n+1, address)
+	}
+	fmt.Fprintf(&b, "[Upstream booking-1]\nService = booking\nAddress = %s\nRegion = Nairobi\nZone = nairobi-a\n", d.service)
+	return b.String()
+}
+
+func (d *demo) apply(ctx context.Context) error {
+	applied, err := d.client.Apply(ctx, revision.Change{ChangeID: "demo", Base: -1, Author: "demo", Text: d.configuration()})
+	if err != nil {
+		return err
+	}
+	if len(applied.Findings) > 0 {
+		return applied.Findings
+	}
+	fmt.Fprintf(d.out, "configuration revision %d is in force\n\n", applied.Result.Revision)
+	return nil
+}
+
+// answers prints one whole answer of each class.
+func (d *demo) answers(ctx context.Context) error {
+	rider := `{"model":"planner","stream":true,"messages":[{"role":"user","content":"plan the pickups, tokens=8"}]}`
+	if err := d.ask(ctx, "RiderPlan, streamed", riderKey, "RiderPlan", "/v1/chat/completions", rider); err != nil {
+		return err
+	}
+	shop := `{"model":"planner","messages":[{"role":"user","content":"reply to the shop, tokens=12"}]}`
+	if err := d.ask(ctx, "ShopReply, whole", shopKey, "ShopReply", "/v1/chat/completions", shop); err != nil {
+		return err
+	}
+	return d.ask(ctx, "Booking", riderKey, "Booking", "/v1/services/booking/book", `{"Pickup":"shop 17"}`)
+}
+
+func (d *demo) ask(ctx context.Context, title, key, class, path, body string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		answer, status, err := d.post(ctx, key, class, path, body)
+		switch {
+		case err != nil:
+			return err
+		case status == http.StatusOK:
+			fmt.Fprintf(d.out, "== %s\n%s\n\n", title, strings.TrimSpace(answer))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%s: status %d: %s", title, status, answer)
+		case <-time.After(readyPeriod):
+		}
+	}
+}
+
+func (d *demo) post(ctx context.Context, key, class, path, body string) (string, int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.instance.Caller.Address+path, bytes.NewBufferString(body))
+	if err != nil {
+		return "", 0, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Knapweedwell-Class", class)
+	req.Header.Set("Idempotency-Key", class+"-demo")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", 0, errors.Wrap(err, "send request")
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return text(answer), resp.StatusCode, errors.Wrap(err, "read answer")
+}
+
+// text returns the generated text of an answer, or the answer itself.
+func text(answer []byte) string {
+	var whole struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(answer, &whole) == nil && len(whole.Choices) > 0 {
+		return whole.Choices[0].Message.Content
+	}
+	if !bytes.Contains(answer, []byte("data: ")) {
+		return string(answer)
+	}
+	var b strings.Builder
+	for _, line := range strings.Split(string(answer), "\n") {
+		b.WriteString(delta(line))
+	}
+	return b.String()
+}
+
+// delta returns the text in one line of a streamed answer.
+func delta(line string) string {
+	data, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
+		return ""
+	}
+	var c struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &c) != nil || len(c.Choices) == 0 {
+		return data
+	}
+	return c.Choices[0].Delta.Content
+}
+
+// load sends requests of two tiers at once and prints the class table.
+func (d *demo) load(ctx context.Context) error {
+	sc := &load.Scenario{Seed: 1, Duration: loadTime, Streams: []load.Stream{
+		{Class: "RiderPlan", Key: riderKey, Model: "planner", Rate: 6, Tokens: 15, Prompt: 400, Streamed: true, FirstToken: 1400 * time.Millisecond, Between: 62 * time.Millisecond},
+		{Class: "ShopReply", Key: shopKey, Model: "planner", Rate: 10, Tokens: 20, Prompt: 400, Streamed: true, FirstToken: 3 * time.Second},
+		{Class: "Booking", Key: riderKey, Service: "booking", Rate: 3, Whole: 2 * time.Second},
+	}}
+	g := &load.Generator{Scenario: sc, Address: d.instance.Caller.Address}
+	fmt.Fprintf(d.out, "== %s of load\n", loadTime)
+	return g.Run(ctx).Write(d.out)
+}
--- /dev/null
+++ b/heartbeat/heartbeat.go
@@ -0,0 +1,361 @@
+// Package heartbeat exchanges heartbeats with neighbouring instances: who is
+// alive, which configuration revision is in force and which upstreams leave.
+package heartbeat
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/kernel"
+	"knapweedwell/member"
+	"knapweedwell/peer"
+	"knapweedwell/platform"
+)
+
+const (
+	period          = time.Second            // period is the time between heartbeats.
+	callTimeout     = 900 * time.Millisecond // callTimeout bounds one heartbeat.
+	listPeriod      = 2 * time.Second        // listPeriod is the time between reads of the instance list in a small fleet.
+	listPerPeriod   = 20                     // listPerPeriod is the fleet size above which the reads are spread out.
+	departingMemory = time.Minute            // departingMemory is how long an upstream is remembered as leaving.
+	maxDeparting    = 32                     // maxDeparting bounds the leaving upstreams in one heartbeat.
+	exchangeMethod  = "Heartbeat.Exchange"
+	membersMethod   = "Heartbeat.Members"
+)
+
+// Beat is what two instances exchange.
+type Beat struct {
+	From      member.Member
+	News      []member.Member
+	Departing []string
+}
+
+// Service keeps the view of the fleet. The exported fields are set before Run.
+type Service struct {
+	Self     member.Member
+	Seeds    []string
+	Peers    *peer.Node
+	Platform *platform.Client
+	Log      logrus.FieldLogger
+	// Revision returns the revision in force here.
+	Revision func() int64
+	// Ahead is told of a peer that has a higher revision.
+	Ahead func(peerAddress string, revision int64)
+
+	mu        sync.Mutex
+	view      *member.View
+	departing map[string]time.Time
+	listeners []func()
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// Prepare registers the handlers. It is called before the peer node runs.
+func (s *Service) Prepare() {
+	s.view = member.New(s.Self)
+	s.departing = map[string]time.Time{}
+	s.Peers.Handle(exchangeMethod, s.exchange)
+	s.Peers.Handle(membersMethod, s.members)
+}
+
+// Listen registers a function that is called after changes of the view.
+func (s *Service) Listen(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, f)
+}
+
+// Run starts the exchange of heartbeats.
+func (s *Service) Run(*kernel.Kernel) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.With(func(v *member.View) { v.Self.Peer = s.Peers.Address })
+	s.done.Add(2)
+	go s.beatLoop(ctx)
+	go s.listLoop(ctx)
+	return nil
+}
+
+// Close stops the exchange.
+func (s *Service) Close() error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// With calls f with the view while holding its lock.
+func (s *Service) With(f func(*member.View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.view)
+}
+
+// Members returns all members.
+func (s *Service) Members() []member.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.All()
+}
+
+// Departing returns the upstreams that the platform lists as leaving.
+func (s *Service) Departing() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := map[string]bool{}
+	for name := range s.departing {
+		set[name] = true
+	}
+	return set
+}
+
+// Announce changes what this instance says of itself, if change is set, and
+// tells all neighbours at once.
+func (s *Service) Announce(ctx context.Context, change func(*member.Member)) {
+	s.mu.Lock()
+	if change != nil {
+		change(&s.view.Self)
+	}
+	s.view.Self.Beat++
+	neighbors := s.view.Neighbors()
+	s.mu.Unlock()
+	s.beatAll(ctx, neighbors)
+	s.notify()
+}
+
+func (s *Service) beatLoop(ctx context.Context) {
+	defer s.done.Done()
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.round(ctx, now.Sub(last) > member.SuspectAfter)
+			last = now
+		}
+	}
+}
+
+// round sends one heartbeat to each neighbour. After a freeze of this process
+// nobody is judged by the silence of the past.
+func (s *Service) round(ctx context.Context, frozen bool) {
+	now := time.Now()
+	s.mu.Lock()
+	if frozen {
+		s.view.Forgive(now)
+	}
+	s.view.Self.Beat++
+	changed := s.view.Tick(now)
+	neighbors := s.view.Neighbors()
+	s.mu.Unlock()
+	s.report(changed)
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.beatAll(ctx, neighbors)
+	}()
+}
+
+func (s *Service) report(changed []member.Member) {
+	for _, m := range changed {
+		s.Log.WithFields(logrus.Fields{"Instance": m.Name, "State": m.State.String()}).Warn("instance is silent")
+		if m.State == member.Suspect {
+			s.Peers.Drop(m.Peer)
+		}
+	}
+	if len(changed) > 0 {
+		s.notify()
+	}
+}
+
+func (s *Service) notify() {
+	s.mu.Lock()
+	listeners := s.listeners
+	s.mu.Unlock()
+	for _, f := range listeners {
+		f()
+	}
+}
+
+func (s *Service) beatAll(ctx context.Context, to []member.Member) {
+	var wait sync.WaitGroup
+	for _, m := range to {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.beat(ctx, m.Peer)
+		}()
+	}
+	wait.Wait()
+}
+
+func (s *Service) beat(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var answer Beat
+	if err := s.Peers.Call(ctx, address, exchangeMethod, s.own(), &answer); err != nil {
+		return
+	}
+	s.merge(answer)
+}
+
+// own returns what this instance says in a heartbeat.
+func (s *Service) own() Beat {
+	revision := s.Revision()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Self.Revision = revision
+	b := Beat{From: s.view.Self, News: s.view.News(time.Now())}
+	for name := range s.departing {
+		b.Departing = append(b.Departing, name)
+	}
+	sort.Strings(b.Departing)
+	if len(b.Departing) > maxDeparting {
+		b.Departing = b.Departing[:maxDeparting]
+	}
+	return b
+}
+
+func (s *Service) merge(b Beat) {
+	now := time.Now()
+	s.mu.Lock()
+	changed := s.view.Merge(now, b.From)
+	for _, m := range b.News {
+		changed = s.view.Merge(now, m) || changed
+	}
+	for _, name := range b.Departing {
+		if _, known := s.departing[name]; !known {
+			s.departing[name] = now
+			changed = true
+		}
+	}
+	s.mu.Unlock()
+	if b.From.Revision > s.Revision() {
+		s.Ahead(b.From.Peer, b.From.Revision)
+	}
+	if changed {
+		s.notify()
+	}
+}
+
+func (s *Service) exchange(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b Beat
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, err
+	}
+	s.merge(b)
+	return s.own(), nil
+}
+
+func (s *Service) members(context.Context, string, json.RawMessage) (any, error) {
+	return s.Members(), nil
+}
+
+// join learns the fleet from the seeds that are not known as members yet. A
+// seed may start later than this instance.
+func (s *Service) join(ctx context.Context) {
+	known := map[string]bool{s.Peers.Address: true}
+	for _, m := range s.Members() {
+		known[m.Peer] = m.State != member.Gone
+	}
+	var wait sync.WaitGroup
+	for _, seed := range s.Seeds {
+		if known[seed] {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.learn(ctx, seed)
+		}()
+	}
+	wait.Wait()
+}
+
+// learn greets one instance and takes over the members that it knows.
+func (s *Service) learn(ctx context.Context, address string) {
+	if address == s.Peers.Address {
+		return
+	}
+	s.beat(ctx, address)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var all []member.Member
+	if err := s.Peers.Call(ctx, address, membersMethod, nil, &all); err != nil {
+		return
+	}
+	s.merge(Beat{News: all})
+}
+
+// listLoop reads the platform's instance list. In a large fleet the reads are
+// spread out, and what one instance read comes to the others by heartbeat.
+func (s *Service) listLoop(ctx context.Context) {
+	defer s.done.Done()
+	for {
+		s.join(ctx)
+		s.readList(ctx)
+		wait := listPeriod * time.Duration(1+len(s.Members())/listPerPeriod)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *Service) readList(ctx context.Context) {
+	list, err := s.Platform.Instances(ctx)
+	if err != nil {
+		s.expireDeparting()
+		return
+	}
+	changed := false
+	for _, l := range list {
+		if l.Role == "upstream" && l.State == "leaving" {
+			changed = s.depart(l.Name) || changed
+		}
+		if l.Role == "instance" && !s.knows(l) {
+			s.learn(ctx, l.Peer)
+		}
+	}
+	s.expireDeparting()
+	if changed {
+		s.notify()
+	}
+}
+
+func (s *Service) knows(l platform.Listed) bool {
+	if l.State != "live" || l.Peer == "" {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.view.Get(l.Name)
+	return ok && m.State != member.Gone
+}
+
+func (s *Service) depart(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.departing[name]
+	s.departing[name] = time.Now()
+	return !known
+}
+
+func (s *Service) expireDeparting() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.departing {
+		if now.Sub(t) > departingMemory {
+			delete(s.departing, name)
+		}
+	}
+}
--- /dev/null
+++ b/inifile/inifile.go
@@ -0,0 +1,160 @@
+// Package inifile reads INI text with the place of every section and key, so
+// that findings can name file, line, section and key.
+package inifile
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Finding is one fault in an INI text, with its place.
+type Finding struct {
+	File    string
+	Line    int
+	Section string
+	Key     string
+	Message string
+}
+
+// String renders the finding as file:line: [section] key: message.
+func (f Finding) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
+	if f.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, "%s: ", f.Key)
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// Findings is a list of findings that is also an error.
+type Findings []Finding
+
+// Error renders one finding a line, ordered by line.
+func (fs Findings) Error() string {
+	sorted := append(Findings(nil), fs...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].Line < sorted[j].Line })
+	lines := make([]string, len(sorted))
+	for i, f := range sorted {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Value is the text of one key and its line.
+type Value struct {
+	Text string
+	Line int
+}
+
+// Section is one section: its kind is the first word of its header and its
+// name the rest.
+type Section struct {
+	Kind string
+	Name string
+	Line int
+	Keys map[string]Value
+}
+
+// Header returns the section's header without brackets.
+func (s *Section) Header() string {
+	return strings.TrimSpace(s.Kind + " " + s.Name)
+}
+
+// File is a parsed INI text.
+type File struct {
+	Name     string
+	Sections []*Section
+	Findings Findings
+}
+
+// Parse reads an INI text. Faults are collected in the file's findings.
+func Parse(name, text string) *File {
+	f := &File{Name: name}
+	opts := ini.LoadOptions{IgnoreInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: "="}
+	parsed, err := ini.LoadSources(opts, []byte(text))
+	if err != nil {
+		f.find(lineOf(text, err), "", "", fmt.Sprintf("not INI: %v; expected [Section] and Key = Value lines", err))
+		return f
+	}
+	f.scan(text)
+	f.fill(parsed)
+	return f
+}
+
+func (f *File) find(line int, section, key, message string) {
+	f.Findings = append(f.Findings, Finding{File: f.Name, Line: line, Section: section, Key: key, Message: message})
+}
+
+// lineOf finds the line that a parser error quotes, or 1.
+func lineOf(text string, err error) int {
+	for i, line := range strings.Split(text, "\n") {
+		trimmed := strings.TrimSpace(line)
+		if trimmed != "" && strings.HasSuffix(err.Error(), trimmed) {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+// scan records the line of every section and key and reports duplicates.
+func (f *File) scan(text string) {
+	var section *Section
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+		case line[0] == '[':
+			section = f.open(strings.Trim(line, "[] \t"), i+1)
+		default:
+			f.key(section, line, i+1)
+		}
+	}
+}
+
+func (f *File) open(header string, line int) *Section {
+	kind, name, _ := strings.Cut(header, " ")
+	s := &Section{Kind: kind, Name: strings.TrimSpace(name), Line: line, Keys: map[string]Value{}}
+	for _, other := range f.Sections {
+		if other.Header() == s.Header() {
+			f.find(line, s.Header(), "", fmt.Sprintf("section stands twice; first at line %d", other.Line))
+			return other
+		}
+	}
+	f.Sections = append(f.Sections, s)
+	return s
+}
+
+func (f *File) key(s *Section, text string, line int) {
+	name, _, _ := strings.Cut(text, "=")
+	name = strings.TrimSpace(name)
+	if s == nil {
+		f.find(line, "", name, "key before the first section")
+		return
+	}
+	if other, twice := s.Keys[name]; twice {
+		f.find(line, s.Header(), name, fmt.Sprintf("key stands twice; first at line %d", other.Line))
+		return
+	}
+	s.Keys[name] = Value{Line: line}
+}
+
+// fill copies the parsed values to the scanned keys.
+func (f *File) fill(parsed *ini.File) {
+	values := map[string]map[string]string{}
+	for _, s := range parsed.Sections() {
+		values[strings.Join(strings.Fields(s.Name()), " ")] = s.KeysHash()
+	}
+	for _, s := range f.Sections {
+		got := values[strings.Join(strings.Fields(s.Header()), " ")]
+		for key, v := range s.Keys {
+			s.Keys[key] = Value{Text: got[key], Line: v.Line}
+		}
+	}
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,280 @@
+// Package instance assembles one instance of the router from its services and
+// stops it without cutting off a request.
+package instance
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/caller"
+	"knapweedwell/claimstore"
+	"knapweedwell/dispatch"
+	"knapweedwell/heartbeat"
+	"knapweedwell/invariant"
+	"knapweedwell/journal"
+	"knapweedwell/kernel"
+	"knapweedwell/member"
+	"knapweedwell/metric"
+	"knapweedwell/operator"
+	"knapweedwell/owner"
+	"knapweedwell/peer"
+	"knapweedwell/platform"
+	"knapweedwell/pool"
+	"knapweedwell/revision"
+	"knapweedwell/setting"
+	"knapweedwell/upstream"
+)
+
+// Names of the services of an instance.
+const (
+	PeerService      = "peer"
+	HeartbeatService = "heartbeat"
+	RevisionService  = "revision"
+	ClaimService     = "claimstore"
+	OwnerService     = "owner"
+	DispatchService  = "dispatch"
+	CallerService    = "caller"
+	OperatorService  = "operator"
+)
+
+// Instance is one instance. The exported fields are set before Run.
+type Instance struct {
+	Settings *setting.Settings
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen   func(network, address string) (net.Listener, error)
+	Log      logrus.FieldLogger
+	Check    *invariant.Checker
+
+	Caller   *caller.Server
+	Operator *operator.Server
+	Beats    *heartbeat.Service
+	Keeper   *revision.Keeper
+	Dispatch *dispatch.Service
+	Owners   *owner.Service
+	Claims   *claimstore.Desk
+	Peers    *peer.Node
+	Platform *platform.Client
+
+	kernel    *kernel.Kernel
+	upstreams *upstream.Client
+	metrics   *metric.Registry
+	journal   *journal.Journal
+}
+
+// Run builds and starts all services.
+func (i *Instance) Run() error {
+	i.kernel = kernel.New()
+	i.metrics = metric.New()
+	i.journal = journal.New()
+	i.Platform = platform.New(i.Settings.Platform, i.Dial)
+	i.upstreams = upstream.New(i.Dial)
+	self := i.self()
+	i.buildMembership(self)
+	i.buildDecisions(self)
+	i.buildServers()
+	i.addServices()
+	if err := i.kernel.Run(); err != nil {
+		return err
+	}
+	i.Beats.Announce(context.Background(), func(m *member.Member) {
+		m.State = member.Live
+		m.Caller = i.Caller.Address
+		m.Operator = i.Operator.Address
+	})
+	i.Log.WithField("Instance", self.Identity()).Info("instance is live")
+	return nil
+}
+
+func (i *Instance) self() member.Member {
+	return member.Member{
+		Name:        i.Settings.Name,
+		Incarnation: time.Now().UnixNano(),
+		State:       member.Starting,
+		Region:      i.Settings.Region,
+		Zone:        i.Settings.Zone,
+		Peer:        i.Settings.Peer,
+		Caller:      i.Settings.Caller,
+		Operator:    i.Settings.Operator,
+	}
+}
+
+func (i *Instance) buildMembership(self member.Member) {
+	i.Peers = &peer.Node{
+		Name:    self.Name,
+		Address: self.Peer,
+		Key:     i.Settings.PeerKey,
+		Dial:    i.Dial,
+		Listen:  i.Listen,
+		Log:     i.Log,
+	}
+	i.Beats = &heartbeat.Service{
+		Self:     self,
+		Seeds:    i.Settings.Seeds,
+		Peers:    i.Peers,
+		Platform: i.Platform,
+		Log:      i.Log,
+	}
+	i.Keeper = &revision.Keeper{
+		Platform: i.Platform,
+		Peers:    i.Peers,
+		Check:    i.Check,
+		Log:      i.Log,
+		Silence:  i.silence,
+	}
+	i.Beats.Revision = i.Keeper.Revision
+	i.Beats.Ahead = i.Keeper.Ahead
+	i.Beats.Prepare()
+	i.Keeper.Prepare()
+}
+
+func (i *Instance) silence() (time.Duration, bool) {
+	var silence time.Duration
+	var known bool
+	i.Beats.With(func(v *member.View) { silence, known = v.Silence(time.Now()) })
+	return silence, known
+}
+
+func (i *Instance) ended(identity string) bool {
+	var ended bool
+	i.Beats.With(func(v *member.View) { _, ended = v.Ended(identity) })
+	return ended
+}
+
+func (i *Instance) buildDecisions(self member.Member) {
+	i.Claims = &claimstore.Desk{
+		Identity: self.Identity(),
+		Store:    &claimstore.Store{Platform: i.Platform},
+		Peers:    i.Peers,
+		Beats:    i.Beats,
+		Log:      i.Log,
+	}
+	i.Owners = &owner.Service{
+		Self:      self.Name,
+		Region:    self.Region,
+		Policy:    pool.Policy(i.Settings.Policy),
+		Keeper:    i.Keeper,
+		Beats:     i.Beats,
+		Peers:     i.Peers,
+		Upstreams: i.upstreams,
+		Check:     i.Check,
+		Log:       i.Log,
+	}
+	i.Dispatch = &dispatch.Service{
+		Self:       self.Name,
+		Identity:   self.Identity(),
+		Zone:       self.Zone,
+		Region:     self.Region,
+		Keeper:     i.Keeper,
+		Owners:     i.Owners,
+		Claims:     i.Claims,
+		Upstreams:  i.upstreams,
+		Check:      i.Check,
+		Metrics:    i.metrics,
+		Journal:    i.journal,
+		Log:        i.Log,
+		Departing:  i.Beats.Departing,
+		Ended:      i.ended,
+		MaxRunning: i.Settings.MaxRequests,
+	}
+	i.Claims.Prepare()
+	i.Owners.Prepare()
+	i.Dispatch.Prepare()
+}
+
+func (i *Instance) buildServers() {
+	i.Caller = &caller.Server{
+		Self:         i.Settings.Name,
+		Region:       i.Settings.Region,
+		Address:      i.Settings.Caller,
+		MaxBodyBytes: i.Settings.MaxBodyBytes,
+		Keeper:       i.Keeper,
+		Beats:        i.Beats,
+		Owners:       i.Owners,
+		Claims:       i.Claims,
+		Dispatch:     i.Dispatch,
+		Check:        i.Check,
+		Listen:       i.Listen,
+		Log:          i.Log,
+	}
+	i.Operator = &operator.Server{
+		Self:     i.Settings.Name,
+		Address:  i.Settings.Operator,
+		Key:      i.Settings.OperatorKey,
+		Keeper:   i.Keeper,
+		Beats:    i.Beats,
+		Owners:   i.Owners,
+		Claims:   i.Claims,
+		Dispatch: i.Dispatch,
+		Peers:    i.Peers,
+		Metrics:  i.metrics,
+		Journal:  i.journal,
+		Check:    i.Check,
+		Listen:   i.Listen,
+		Log:      i.Log,
+	}
+	i.Operator.Prepare()
+}
+
+func (i *Instance) addServices() {
+	i.kernel.Add(PeerService, i.Peers)
+	i.kernel.Add(HeartbeatService, i.Beats)
+	i.kernel.Add(RevisionService, i.Keeper)
+	i.kernel.Add(ClaimService, i.Claims)
+	i.kernel.Add(OwnerService, i.Owners)
+	i.kernel.Add(DispatchService, i.Dispatch)
+	i.kernel.Add(OperatorService, i.Operator)
+	i.kernel.Add(CallerService, i.Caller)
+}
+
+// Metrics returns the instance's metrics.
+func (i *Instance) Metrics() *metric.Registry {
+	return i.metrics
+}
+
+// Stop stops the instance without cutting off a request: it leaves the address
+// answers, hands its shards and tickets over, serves callers whose address
+// answers are still valid, and waits for all answers under way or for the end
+// of the context.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.Log.Info("instance is leaving")
+	i.Beats.Announce(ctx, func(m *member.Member) { m.State = member.Leaving })
+	i.Caller.Leave()
+	successor := i.Claims.HandOver(ctx, i.successors())
+	i.Beats.Announce(ctx, func(m *member.Member) { m.Successor = successor })
+	select {
+	case <-ctx.Done():
+	case <-time.After(i.Settings.StopWait):
+	}
+	whole := i.Caller.Drain(ctx)
+	i.Beats.Announce(context.Background(), func(m *member.Member) { m.State = member.Gone })
+	i.Log.WithField("AllAnswered", whole).Info("instance has left")
+	return i.Close()
+}
+
+// successors returns the live instances, those of the same region first.
+func (i *Instance) successors() []member.Member {
+	var near, far []member.Member
+	i.Beats.With(func(v *member.View) {
+		for _, m := range v.Live() {
+			switch {
+			case m.Name == v.Self.Name:
+			case m.Region == v.Self.Region:
+				near = append(near, m)
+			default:
+				far = append(far, m)
+			}
+		}
+	})
+	return append(near, far...)
+}
+
+// Close ends all services at once. Requests under way are cut off.
+func (i *Instance) Close() error {
+	err := i.kernel.Close()
+	_ = i.upstreams.Close()
+	_ = i.Platform.Close()
+	return err
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,317 @@
+// Package member keeps an instance's view of the other instances and decides
+// who owns a shard. The view is a pure function of its calls.
+package member
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+)
+
+// State is what is known of an instance.
+type State int
+
+// The states of an instance, in the order in which they override each other
+// within one heartbeat.
+const (
+	Starting State = iota
+	Live
+	Suspect
+	Leaving
+	Gone
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Starting:
+		return "starting"
+	case Live:
+		return "live"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	}
+	return "gone"
+}
+
+// Timing of failure detection.
+const (
+	SuspectAfter = 2500 * time.Millisecond // SuspectAfter is the silence that makes an instance suspect.
+	GoneAfter    = 8 * time.Second         // GoneAfter is the silence after which it counts as gone.
+	ForgetAfter  = 10 * time.Minute        // ForgetAfter is when a gone instance is forgotten.
+	NewsLifetime = 6 * time.Second         // NewsLifetime is how long a change is passed on.
+	MaxNews      = 16                      // MaxNews bounds the changes in one heartbeat.
+	MaxNeighbors = 8                       // MaxNeighbors bounds the instances that one instance watches.
+)
+
+// Member is one instance as others know it.
+type Member struct {
+	Name        string
+	Incarnation int64 // Incarnation rises with each start of the instance.
+	Beat        int64 // Beat rises with each heartbeat.
+	State       State
+	Region      string
+	Zone        string
+	Peer        string
+	Caller      string
+	Operator    string
+	Revision    int64
+	Successor   string // Successor holds the tickets of a leaving instance.
+}
+
+// Identity returns the name with the incarnation.
+func (m Member) Identity() string {
+	return fmt.Sprintf("%s@%d", m.Name, m.Incarnation)
+}
+
+// ParseIdentity splits what Identity returned.
+func ParseIdentity(id string) (name string, incarnation int64, ok bool) {
+	name, number, found := strings.Cut(id, "@")
+	if !found {
+		return "", 0, false
+	}
+	if _, err := fmt.Sscanf(number, "%d", &incarnation); err != nil {
+		return "", 0, false
+	}
+	return name, incarnation, true
+}
+
+type known struct {
+	Member
+	heard   time.Time // heard is when a higher beat came.
+	changed time.Time // changed is when the state or incarnation changed.
+}
+
+// View is one instance's knowledge of all others.
+type View struct {
+	Self    Member
+	members map[string]*known
+	ended   map[string]string // ended maps identities that are gone to their successors.
+}
+
+// New returns a view that knows only the instance itself.
+func New(self Member) *View {
+	return &View{Self: self, members: map[string]*known{}, ended: map[string]string{}}
+}
+
+// newer reports whether a overrides b.
+func newer(a, b Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.Beat != b.Beat {
+		return a.Beat > b.Beat
+	}
+	return a.State > b.State
+}
+
+// Merge takes in what another instance says of a member. It reports whether
+// the member's state or incarnation changed.
+func (v *View) Merge(now time.Time, m Member) bool {
+	if m.Name == v.Self.Name || m.Name == "" {
+		return false
+	}
+	k := v.members[m.Name]
+	if k == nil {
+		v.members[m.Name] = &known{Member: m, heard: now, changed: now}
+		return true
+	}
+	if !newer(m, k.Member) {
+		return false
+	}
+	changed := m.State != k.State || m.Incarnation != k.Incarnation
+	if m.Incarnation != k.Incarnation {
+		v.ended[k.Identity()] = k.Successor
+	}
+	if m.State == Live || m.State == Leaving || m.Incarnation > k.Incarnation {
+		k.heard = now
+	}
+	k.Member = m
+	if changed {
+		k.changed = now
+	}
+	return changed
+}
+
+// Tick makes silent neighbours suspect and then gone. It returns the members
+// whose state changed.
+func (v *View) Tick(now time.Time) []Member {
+	watched := map[string]bool{}
+	for _, m := range v.Neighbors() {
+		watched[m.Name] = true
+	}
+	var changed []Member
+	for name, k := range v.members {
+		silent := now.Sub(k.heard)
+		state := k.State
+		switch {
+		case k.State == Gone && now.Sub(k.changed) > ForgetAfter:
+			v.ended[k.Identity()] = k.Successor
+			delete(v.members, name)
+			continue
+		case k.State == Suspect && now.Sub(k.changed) > GoneAfter-SuspectAfter:
+			state = Gone
+		case watched[name] && silent > GoneAfter && k.State == Leaving:
+			state = Gone
+		case watched[name] && silent > SuspectAfter && k.State <= Live:
+			state = Suspect
+		}
+		if state != k.State {
+			k.State = state
+			k.changed = now
+			changed = append(changed, k.Member)
+		}
+	}
+	return changed
+}
+
+// Forgive counts all members as heard now, after a freeze of this process.
+func (v *View) Forgive(now time.Time) {
+	for _, k := range v.members {
+		k.heard = now
+		if k.State == Suspect {
+			k.changed = now
+		}
+	}
+}
+
+// Silence returns how long nothing was heard of any other instance that is
+// not leaving or gone, and false if there is none such.
+func (v *View) Silence(now time.Time) (time.Duration, bool) {
+	var latest time.Time
+	for _, k := range v.members {
+		if k.State <= Suspect && k.heard.After(latest) {
+			latest = k.heard
+		}
+	}
+	return now.Sub(latest), !latest.IsZero()
+}
+
+// Doubt makes a member suspect because a call to it failed.
+func (v *View) Doubt(now time.Time, name string) {
+	k := v.members[name]
+	if k == nil || k.State != Live {
+		return
+	}
+	k.State = Suspect
+	k.changed = now
+}
+
+// Get returns the member with the name.
+func (v *View) Get(name string) (Member, bool) {
+	if name == v.Self.Name {
+		return v.Self, true
+	}
+	k := v.members[name]
+	if k == nil {
+		return Member{}, false
+	}
+	return k.Member, true
+}
+
+// Ended reports whether an incarnation is known to have ended, and who holds
+// its tickets, if anyone.
+func (v *View) Ended(identity string) (successor string, ended bool) {
+	name, incarnation, ok := ParseIdentity(identity)
+	if !ok {
+		return "", true
+	}
+	if s, gone := v.ended[identity]; gone {
+		return s, true
+	}
+	m, found := v.Get(name)
+	if !found {
+		return "", false
+	}
+	if m.Incarnation == incarnation {
+		return m.Successor, m.State == Gone
+	}
+	return "", m.Incarnation > incarnation
+}
+
+// All returns all members, including this instance, by name.
+func (v *View) All() []Member {
+	all := []Member{v.Self}
+	for _, k := range v.members {
+		all = append(all, k.Member)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Live returns the live members, including this instance if it is live.
+func (v *View) Live() []Member {
+	var live []Member
+	for _, m := range v.All() {
+		if m.State == Live {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// News returns the members that changed lately, at most MaxNews.
+func (v *View) News(now time.Time) []Member {
+	var recent []*known
+	for _, k := range v.members {
+		if now.Sub(k.changed) < NewsLifetime {
+			recent = append(recent, k)
+		}
+	}
+	sort.Slice(recent, func(i, j int) bool { return recent[i].changed.After(recent[j].changed) })
+	if len(recent) > MaxNews {
+		recent = recent[:MaxNews]
+	}
+	news := make([]Member, len(recent))
+	for i, k := range recent {
+		news[i] = k.Member
+	}
+	return news
+}
+
+// Neighbors returns the members that this instance watches: all, or the
+// MaxNeighbors that follow it in the order of hashed names.
+func (v *View) Neighbors() []Member {
+	var ring []Member
+	for _, k := range v.members {
+		if k.State != Gone {
+			ring = append(ring, k.Member)
+		}
+	}
+	self := xxhash.Sum64String(v.Self.Name)
+	place := func(m Member) uint64 { return xxhash.Sum64String(m.Name) - self }
+	sort.Slice(ring, func(i, j int) bool { return place(ring[i]) < place(ring[j]) })
+	if len(ring) > MaxNeighbors {
+		ring = ring[:MaxNeighbors]
+	}
+	return ring
+}
+
+// Owner returns the owner of a shard: by rendezvous hashing over the live
+// members in the shard's region, or over all live ones if it has none. Members
+// named in not are left out.
+func (v *View) Owner(shard, region string, not map[string]bool) (Member, bool) {
+	var near, all []string
+	for _, m := range v.Live() {
+		if not[m.Name] {
+			continue
+		}
+		all = append(all, m.Name)
+		if m.Region == region {
+			near = append(near, m.Name)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return Member{}, false
+	}
+	return v.Get(rendezvous.New(near, xxhash.Sum64String).Lookup(shard))
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,161 @@
+// Package metric counts and times requests by class and by organisation. Its
+// series are bounded by the number of configured classes and organisations.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Sample is what is known of one ended request.
+type Sample struct {
+	Class        string
+	Organisation string
+	Result       string // Result is "ok" or the type of the failure.
+	FirstToken   time.Duration
+	MeanGap      time.Duration
+	Whole        time.Duration
+	Tokens       int
+	Attained     bool
+}
+
+// Totals are the counts of one class.
+type Totals struct {
+	Class      string
+	Requests   int64
+	OK         int64
+	Attained   int64
+	Refused    int64
+	Unknown    int64
+	Failed     int64
+	Preempted  int64
+	Tokens     int64
+	Wasted     int64 // Wasted counts tokens of answers that were cut or discarded.
+	FirstToken time.Duration
+}
+
+// Registry holds the series of one instance.
+type Registry struct {
+	set *metrics.Set
+
+	mu     sync.Mutex
+	totals map[string]*Totals
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{set: metrics.NewSet(), totals: map[string]*Totals{}}
+}
+
+// Gauge registers a gauge that is read when metrics are written.
+func (r *Registry) Gauge(name string, f func() float64) {
+	r.set.NewGauge(name, f)
+}
+
+// Observe books one ended request.
+func (r *Registry) Observe(s Sample) {
+	r.observe("class", s.Class, s)
+	r.observe("organisation", s.Organisation, s)
+	r.set.GetOrCreateCounter(fmt.Sprintf(`knapweedwell_requests_total{class=%q,result=%q}`, s.Class, s.Result)).Inc()
+	if s.Attained {
+		r.set.GetOrCreateCounter(fmt.Sprintf(`knapweedwell_attained_total{class=%q}`, s.Class)).Inc()
+	}
+	if s.Result == "ok" {
+		r.set.GetOrCreateCounter(fmt.Sprintf(`knapweedwell_goodput_tokens_total{class=%q}`, s.Class)).Add(s.Tokens)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.total(s.Class).add(s)
+}
+
+func (r *Registry) observe(label, value string, s Sample) {
+	if s.Result != "ok" {
+		return
+	}
+	r.histogram("first_token", label, value, s.FirstToken)
+	r.histogram("between_tokens", label, value, s.MeanGap)
+	r.histogram("whole_answer", label, value, s.Whole)
+}
+
+func (r *Registry) histogram(name, label, value string, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	r.set.GetOrCreateHistogram(fmt.Sprintf(`knapweedwell_%s_seconds{%s=%q}`, name, label, value)).Update(d.Seconds())
+}
+
+// Waste books tokens of an answer that was cut or discarded.
+func (r *Registry) Waste(class string, tokens int, preempted bool) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`knapweedwell_wasted_tokens_total{class=%q}`, class)).Add(tokens)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.total(class)
+	t.Wasted += int64(tokens)
+	if preempted {
+		t.Preempted++
+	}
+}
+
+func (r *Registry) total(class string) *Totals {
+	t := r.totals[class]
+	if t == nil {
+		t = &Totals{Class: class}
+		r.totals[class] = t
+	}
+	return t
+}
+
+func (t *Totals) add(s Sample) {
+	t.Requests++
+	switch s.Result {
+	case "ok":
+		t.OK++
+		t.Tokens += int64(s.Tokens)
+		t.FirstToken += s.FirstToken
+	case "not_run":
+		t.Refused++
+	case "outcome_unknown":
+		t.Unknown++
+	default:
+		t.Failed++
+	}
+	if s.Attained {
+		t.Attained++
+	}
+}
+
+// Totals returns the counts of all classes by name.
+func (r *Registry) Totals() []Totals {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Totals, 0, len(r.totals))
+	for _, t := range r.totals {
+		all = append(all, *t)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Class < all[j].Class })
+	return all
+}
+
+// Write writes all series in the Prometheus text format.
+func (r *Registry) Write(w io.Writer) {
+	r.set.WritePrometheus(w)
+}
+
+// Merge adds the counts of another instance.
+func (t *Totals) Merge(o Totals) {
+	t.Requests += o.Requests
+	t.OK += o.OK
+	t.Attained += o.Attained
+	t.Refused += o.Refused
+	t.Unknown += o.Unknown
+	t.Failed += o.Failed
+	t.Preempted += o.Preempted
+	t.Tokens += o.Tokens
+	t.Wasted += o.Wasted
+	t.FirstToken += o.FirstToken
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"knapweedwell/invariant"
+	"knapweedwell/revision"
+)
+
+const clientTimeout = 20 * time.Second
+
+func invariantLines(n invariant.Count) string {
+	return fmt.Sprintf("knapweedwell_invariant_evaluated_total{name=%q} %d\nknapweedwell_invariant_violated_total{name=%q} %d\n",
+		n.Name, n.Evaluated, n.Name, n.Violated)
+}
+
+// Client is a client of the operator interface. Its fields are set before the
+// first call.
+type Client struct {
+	Address string
+	Key     string
+	HTTP    http.Client
+}
+
+// Configuration reads the configuration in force.
+func (c *Client) Configuration(ctx context.Context) (Configuration, error) {
+	var out Configuration
+	return out, c.do(ctx, http.MethodGet, "/configuration", nil, &out)
+}
+
+// Apply sends a change. A call without an answer can be made again with the
+// same change ID.
+func (c *Client) Apply(ctx context.Context, change revision.Change) (Applied, error) {
+	var out Applied
+	body, err := json.Marshal(change)
+	if err != nil {
+		return out, errors.Wrap(err, "encode change")
+	}
+	return out, c.do(ctx, http.MethodPost, "/configuration", body, &out)
+}
+
+// Reports reads the reports of all instances.
+func (c *Client) Reports(ctx context.Context) ([]Report, error) {
+	var out []Report
+	return out, c.do(ctx, http.MethodGet, "/reports", nil, &out)
+}
+
+// Explain reads what instances remember of a request.
+func (c *Client) Explain(ctx context.Context, id string) ([]Explanation, error) {
+	var out []Explanation
+	return out, c.do(ctx, http.MethodGet, "/explanations/"+url.PathEscape(id), nil, &out)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build operator call")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "call instance %s", c.Address)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("instance %s answered %d: %s", c.Address, resp.StatusCode, strings.TrimSpace(string(answer)))
+	}
+	return errors.Wrap(json.Unmarshal(answer, out), "decode answer")
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,167 @@
+// Package operator speaks to operators: it serves the configuration, reports
+// of all instances and metrics over HTTP, and is the client of that interface.
+package operator
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/claimstore"
+	"knapweedwell/config"
+	"knapweedwell/dispatch"
+	"knapweedwell/heartbeat"
+	"knapweedwell/inifile"
+	"knapweedwell/invariant"
+	"knapweedwell/journal"
+	"knapweedwell/kernel"
+	"knapweedwell/metric"
+	"knapweedwell/owner"
+	"knapweedwell/peer"
+	"knapweedwell/revision"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	maxBodyBytes  = 2 * config.MaxTextBytes
+)
+
+// Server serves operators. The exported fields are set before Run.
+type Server struct {
+	Self     string
+	Address  string
+	Key      string // Key is the bearer key of operators; empty means none.
+	Keeper   *revision.Keeper
+	Beats    *heartbeat.Service
+	Owners   *owner.Service
+	Claims   *claimstore.Desk
+	Dispatch *dispatch.Service
+	Peers    *peer.Node
+	Metrics  *metric.Registry
+	Journal  *journal.Journal
+	Check    *invariant.Checker
+	Listen   func(network, address string) (net.Listener, error)
+	Log      logrus.FieldLogger
+
+	server *http.Server
+	ended  chan struct{}
+}
+
+// Run starts listening.
+func (s *Server) Run(*kernel.Kernel) error {
+	l, err := s.Listen("tcp", s.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	s.Address = l.Addr().String()
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	s.ended = make(chan struct{})
+	go func() {
+		defer close(s.ended)
+		_ = s.server.Serve(l)
+	}()
+	return nil
+}
+
+// Close closes all connections.
+func (s *Server) Close() error {
+	err := s.server.Close()
+	<-s.ended
+	return err
+}
+
+func (s *Server) routes() http.Handler {
+	m := mux.NewRouter()
+	m.Use(s.authorize)
+	m.HandleFunc("/configuration", s.getConfiguration).Methods(http.MethodGet)
+	m.HandleFunc("/configuration", s.apply).Methods(http.MethodPost)
+	m.HandleFunc("/reports", s.getReports).Methods(http.MethodGet)
+	m.HandleFunc("/explanations/{id}", s.getExplanations).Methods(http.MethodGet)
+	m.HandleFunc("/metrics", s.getMetrics).Methods(http.MethodGet)
+	return m
+}
+
+func (s *Server) authorize(next http.Handler) http.Handler {
+	want := []byte("Bearer " + s.Key)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if s.Key != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			http.Error(w, "the operator key is wrong or missing", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Configuration is the configuration in force on an instance.
+type Configuration struct {
+	Revision int64
+	Text     string
+	History  []revision.Entry
+}
+
+func (s *Server) getConfiguration(w http.ResponseWriter, _ *http.Request) {
+	var c Configuration
+	if snap := s.Keeper.Current(); snap != nil {
+		c = Configuration{Revision: snap.Revision, Text: snap.Text, History: snap.History}
+	}
+	writeJSON(w, c)
+}
+
+// Applied is the answer to an apply: its result, or the findings in the text.
+type Applied struct {
+	Result   *revision.Result
+	Findings inifile.Findings
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	var c revision.Change
+	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if err := json.NewDecoder(body).Decode(&c); err != nil {
+		http.Error(w, "malformed change: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	res, err := s.Keeper.Apply(r.Context(), c)
+	var findings inifile.Findings
+	if err != nil && !errors.As(err, &findings) {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if err == nil && res.Outcome == revision.Applied {
+		s.Log.WithFields(logrus.Fields{"Author": c.Author, "Revision": res.Revision, "ChangeID": c.ChangeID}).Info("configuration applied")
+		s.Beats.Announce(r.Context(), nil)
+	}
+	writeJSON(w, Applied{Result: res, Findings: findings})
+}
+
+func (s *Server) getReports(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.gather(r.Context()))
+}
+
+func (s *Server) getExplanations(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.explain(r.Context(), mux.Vars(r)["id"]))
+}
+
+func (s *Server) getMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.Metrics.Write(w)
+	writeInvariants(w, s.Check.Counts())
+}
+
+func writeInvariants(w io.Writer, counts []invariant.Count) {
+	for _, n := range counts {
+		_, _ = io.WriteString(w, invariantLines(n))
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/owner/wire.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"time"
+
+	"knapweedwell/pool"
+)
+
+// wireAsk is an ask as it is sent to an owner. Times are sent as durations,
+// because clocks differ.
+type wireAsk struct {
+	Shard        string
+	ID           string
+	Holder       string
+	HolderZone   string
+	Class        string
+	Organisation string
+	Rank         int
+	Restartable  bool
+	Prefix       uint64
+	PromptTokens int
+	Cost         float64
+	Age          time.Duration
+	Left         time.Duration
+	Avoid        string
+	Insist       bool // Insist asks to decide even if the receiver's view names another owner.
+}
+
+func newWireAsk(now time.Time, shard string, a pool.Ask, insist bool) wireAsk {
+	return wireAsk{
+		Shard:        shard,
+		ID:           a.ID,
+		Holder:       a.Holder,
+		HolderZone:   a.HolderZone,
+		Class:        a.Class,
+		Organisation: a.Organisation,
+		Rank:         a.Rank,
+		Restartable:  a.Restartable,
+		Prefix:       a.Prefix,
+		PromptTokens: a.PromptTokens,
+		Cost:         a.Cost,
+		Age:          now.Sub(a.Arrived),
+		Left:         a.Expires.Sub(now),
+		Avoid:        a.Avoid,
+		Insist:       insist,
+	}
+}
+
+func (w *wireAsk) ask(now time.Time) pool.Ask {
+	return pool.Ask{
+		ID:           w.ID,
+		Holder:       w.Holder,
+		HolderZone:   w.HolderZone,
+		Class:        w.Class,
+		Organisation: w.Organisation,
+		Rank:         w.Rank,
+		Restartable:  w.Restartable,
+		Prefix:       w.Prefix,
+		PromptTokens: w.PromptTokens,
+		Cost:         w.Cost,
+		Arrived:      now.Add(-w.Age),
+		Expires:      now.Add(w.Left),
+		Avoid:        w.Avoid,
+	}
+}
+
+// Reply is an owner's answer to an ask.
+type Reply struct {
+	Granted  bool
+	Moved    bool // Moved tells that another instance owns the shard.
+	Upstream string
+	Address  string
+	Reason   pool.Reason
+	Waited   time.Duration
+}
+
+// wireID names one ask or grant of a shard.
+type wireID struct {
+	Shard string
+	ID    string
+}
+
+// wireFinish is the last report of a grant.
+type wireFinish struct {
+	Shard  string
+	Report pool.Report
+}
+
+// wireRefresh reports all grants that a holder has in use in a shard.
+type wireRefresh struct {
+	Shard string
+	Helds []pool.Held
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	maxFrameBytes = 16 << 20 // maxFrameBytes bounds one message.
+	headerBytes   = 4
+)
+
+// frameCodec carries each JSON object after its length in four bytes, most
+// significant first. It implements jsonrpc2.ObjectCodec.
+type frameCodec struct{}
+
+// WriteObject writes one object as a frame.
+func (frameCodec) WriteObject(w io.Writer, obj any) error {
+	body, err := json.Marshal(obj)
+	if err != nil {
+		return err
+	}
+	if len(body) > maxFrameBytes {
+		return errors.Errorf("message of %d bytes is larger than a frame", len(body))
+	}
+	frame := make([]byte, headerBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	copy(frame[headerBytes:], body)
+	_, err = w.Write(frame)
+	return err
+}
+
+// ReadObject reads one frame into v.
+func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n > maxFrameBytes {
+		return errors.Errorf("frame of %d bytes is larger than %d", n, maxFrameBytes)
+	}
+	return json.NewDecoder(io.LimitReader(r, int64(n))).Decode(v)
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,334 @@
+// Package peer speaks to the other instances: JSON-RPC 2.0 over TCP, one
+// connection a pair that is dialled when first needed and used in both
+// directions.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/singleflight"
+
+	"knapweedwell/kernel"
+)
+
+const (
+	protocolVersion = 1
+	dialTimeout     = time.Second
+	helloTimeout    = 2 * time.Second
+	helloMethod     = "Peer.Hello"
+)
+
+// Handler answers one method. Its result is encoded as JSON.
+type Handler func(ctx context.Context, from string, params json.RawMessage) (any, error)
+
+// Hello opens a connection between two instances.
+type Hello struct {
+	Version int
+	Name    string
+	Peer    string
+	Key     string
+}
+
+// Node is this instance's end of all peer connections. The exported fields
+// are set before Run.
+type Node struct {
+	Name    string
+	Address string
+	Key     string // Key is shared by all instances.
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen  func(network, address string) (net.Listener, error)
+	Log     logrus.FieldLogger
+
+	mu       sync.Mutex
+	handlers map[string]Handler
+	conns    map[string]*jsonrpc2.Conn // conns by peer address.
+	all      map[*jsonrpc2.Conn]bool
+	dials    singleflight.Group
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Handle registers the handler of a method. It is called before Run.
+func (n *Node) Handle(method string, h Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.handlers == nil {
+		n.handlers = map[string]Handler{}
+	}
+	n.handlers[method] = h
+}
+
+// Run starts listening.
+func (n *Node) Run(*kernel.Kernel) error {
+	l, err := n.Listen("tcp", n.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	n.listener = l
+	n.Address = l.Addr().String()
+	n.conns = map[string]*jsonrpc2.Conn{}
+	n.all = map[*jsonrpc2.Conn]bool{}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.done.Add(1)
+	go n.accept()
+	return nil
+}
+
+// Close closes all connections and waits for their goroutines.
+func (n *Node) Close() error {
+	n.cancel()
+	err := n.listener.Close()
+	n.mu.Lock()
+	open := make([]*jsonrpc2.Conn, 0, len(n.all))
+	for c := range n.all {
+		open = append(open, c)
+	}
+	n.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+	n.done.Wait()
+	return err
+}
+
+// Bytes returns the bytes sent to and received from peers so far.
+func (n *Node) Bytes() (sent, received int64) {
+	return n.sent.Load(), n.received.Load()
+}
+
+func (n *Node) accept() {
+	defer n.done.Done()
+	for {
+		c, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		n.serve(c, "")
+	}
+}
+
+// serve starts JSON-RPC on a connection. Dialled connections know their
+// address; accepted ones learn it by Hello and answer nothing before.
+func (n *Node) serve(c net.Conn, address string) *jsonrpc2.Conn {
+	ctx, cancel := context.WithCancel(n.ctx)
+	s := &session{node: n, address: address, trusted: address != "", cancel: cancel}
+	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: c, node: n}, frameCodec{})
+	// The lock keeps Hello from being handled before the session is complete.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(s))
+	n.track(s)
+	return s.conn
+}
+
+func (n *Node) track(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.all[s.conn] = true
+	if s.address != "" {
+		n.conns[s.address] = s.conn
+	}
+	n.done.Add(1)
+	go n.watch(s)
+}
+
+// watch forgets a connection once it is closed.
+func (n *Node) watch(s *session) {
+	defer n.done.Done()
+	<-s.conn.DisconnectNotify()
+	s.cancel()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.all, s.conn)
+	for address, c := range n.conns {
+		if c == s.conn {
+			delete(n.conns, address)
+		}
+	}
+}
+
+// conn returns the connection to the address and dials it if there is none.
+func (n *Node) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	n.mu.Lock()
+	c := n.conns[address]
+	n.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	ch := n.dials.DoChan(address, func() (any, error) { return n.dial(address) })
+	select {
+	case r := <-ch:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*jsonrpc2.Conn), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Node) dial(address string) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
+	defer cancel()
+	raw, err := n.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial peer %s", address)
+	}
+	if n.ctx.Err() != nil {
+		_ = raw.Close()
+		return nil, n.ctx.Err()
+	}
+	c := n.serve(raw, address)
+	hello := Hello{Version: protocolVersion, Name: n.Name, Peer: n.Address, Key: n.Key}
+	ctx, cancelHello := context.WithTimeout(n.ctx, helloTimeout)
+	defer cancelHello()
+	if err := c.Call(ctx, helloMethod, hello, nil); err != nil {
+		_ = c.Close()
+		return nil, errors.Wrapf(err, "greet peer %s", address)
+	}
+	return c, nil
+}
+
+// Call calls a method of the peer and decodes its result.
+func (n *Node) Call(ctx context.Context, address, method string, params, result any) error {
+	c, err := n.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(c.Call(ctx, method, params, result), "call %s of %s", method, address)
+}
+
+// Notify sends a message that has no answer.
+func (n *Node) Notify(ctx context.Context, address, method string, params any) error {
+	c, err := n.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(c.Notify(ctx, method, params), "notify %s of %s", method, address)
+}
+
+// Drop closes the connection to a peer that no longer answers.
+func (n *Node) Drop(address string) {
+	n.mu.Lock()
+	c := n.conns[address]
+	delete(n.conns, address)
+	n.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// session is one connection and whether its other end is trusted.
+type session struct {
+	node   *Node
+	cancel context.CancelFunc // cancel ends the handlers once the connection is closed.
+
+	mu      sync.Mutex
+	conn    *jsonrpc2.Conn
+	name    string
+	address string
+	trusted bool
+}
+
+// Handle answers one request of the other end.
+func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := s.answer(ctx, req)
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, rpcError(err))
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, result)
+}
+
+func rpcError(err error) *jsonrpc2.Error {
+	var known *jsonrpc2.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+}
+
+func (s *session) answer(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	if req.Method == helloMethod {
+		return s.hello(params)
+	}
+	s.mu.Lock()
+	name, trusted := s.name, s.trusted
+	s.mu.Unlock()
+	if !trusted {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "the first message must be " + helloMethod}
+	}
+	s.node.mu.Lock()
+	h := s.node.handlers[req.Method]
+	s.node.mu.Unlock()
+	if h == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	return h(ctx, name, params)
+}
+
+func (s *session) hello(params json.RawMessage) (any, error) {
+	var h Hello
+	if err := json.Unmarshal(params, &h); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed hello"}
+	}
+	if subtle.ConstantTimeCompare([]byte(h.Key), []byte(s.node.Key)) != 1 {
+		s.node.Log.WithField("Peer", h.Name).Warn("peer refused: wrong peer key")
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "wrong peer key"}
+	}
+	s.mu.Lock()
+	s.name, s.trusted = h.Name, true
+	conn := s.conn
+	s.mu.Unlock()
+	s.node.adopt(h.Peer, conn)
+	return Hello{Version: protocolVersion, Name: s.node.Name, Peer: s.node.Address}, nil
+}
+
+// adopt uses an accepted connection for calls to its other end.
+func (n *Node) adopt(address string, c *jsonrpc2.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.all[c] && n.conns[address] == nil {
+		n.conns[address] = c
+	}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	node *Node
+}
+
+// Read counts the bytes read.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.node.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts the bytes written.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.node.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/pool/schedule.go
@@ -0,0 +1,270 @@
+package pool
+
+import (
+	"time"
+
+	"knapweedwell/invariant"
+	"knapweedwell/placement"
+	"knapweedwell/tier"
+)
+
+// schedule grants as long as a request waits and an upstream has a free place,
+// then preempts for those that have waited too long.
+func (s *Shard) schedule(now time.Time) []Decision {
+	if now.Before(s.openAt) {
+		return nil
+	}
+	var out []Decision
+	for s.queue.Len() > 0 {
+		it, floor := s.queue.Next(now)
+		if s.Policy != Tiered {
+			floor = false
+		}
+		a := s.asks[it.ID]
+		u := s.place(now, *a, false)
+		if u == nil {
+			return append(out, s.preemptWaiting(now)...)
+		}
+		s.checkOrder(now, it, floor)
+		s.queue.Dispatch(it)
+		s.checkFloors()
+		delete(s.asks, it.ID)
+		out = append(out, s.grant(now, *a, u, false))
+	}
+	return out
+}
+
+func (s *Shard) checkOrder(now time.Time, it *tier.Item, floor bool) {
+	if floor {
+		s.Check.Check(invariant.FloorSpent, s.queue.FloorDue(it.Class) && s.queue.Has(it.ID),
+			"shard %s spent a floor of class %s that is not due", s.Name, it.Class)
+		return
+	}
+	s.Check.Check(invariant.TierOrder, it.Rank <= s.queue.HighestRank(),
+		"shard %s at %s dispatched rank %d while rank %d waits", s.Name, now, it.Rank, s.queue.HighestRank())
+}
+
+func (s *Shard) checkFloors() {
+	if s.Policy != Tiered {
+		return
+	}
+	starved := s.queue.Starved()
+	s.Check.Check(invariant.FloorServed, starved == "", "shard %s starves class %s", s.Name, starved)
+}
+
+// grant books a grant and returns the decision.
+func (s *Shard) grant(now time.Time, a Ask, u *upstream, floor bool) Decision {
+	s.Check.Check(invariant.GrantOnce, s.grants[a.ID] == nil, "shard %s granted %s twice", s.Name, a.ID)
+	s.Check.Check(invariant.LeavingNoWork, u.open(now), "shard %s granted leaving upstream %s", s.Name, u.Name)
+	g := &Grant{
+		ID:          a.ID,
+		Holder:      a.Holder,
+		Upstream:    u.Name,
+		Class:       a.Class,
+		Rank:        a.Rank,
+		Restartable: a.Restartable,
+		Floor:       floor,
+		Granted:     now,
+		Held:        now,
+	}
+	s.grants[a.ID] = g
+	if floor {
+		u.floor++
+	} else {
+		u.granted++
+	}
+	s.Check.Check(invariant.LimitHeld, u.granted <= u.limiter.Max && u.floor <= 1,
+		"upstream %s has %d grants and %d floor grants; its ceiling is %d", u.Name, u.granted, u.floor, u.limiter.Max)
+	u.remember(now, a.Prefix)
+	return Granted{Ask: a, Grant: *g, Address: u.Address, Waited: now.Sub(a.Arrived)}
+}
+
+func (u *upstream) remember(now time.Time, prefix uint64) {
+	if prefix == 0 {
+		return
+	}
+	if len(u.prefixes) >= maxPrefixes {
+		u.forgetOldest()
+	}
+	u.prefixes[prefix] = now
+}
+
+func (u *upstream) forgetOldest() {
+	var oldest uint64
+	var at time.Time
+	for p, t := range u.prefixes {
+		if at.IsZero() || t.Before(at) {
+			oldest, at = p, t
+		}
+	}
+	delete(u.prefixes, oldest)
+}
+
+// place returns the upstream for the ask, or nil if none has a free place.
+func (s *Shard) place(now time.Time, a Ask, floor bool) *upstream {
+	switch s.Policy {
+	case FIFO:
+		return s.placeInTurn(now)
+	case LeastReported:
+		return s.placeLeastReported(now)
+	}
+	us := s.candidates(now, a, floor)
+	cs := make([]placement.Candidate, len(us))
+	for i, u := range us {
+		cs[i] = u.candidate(now, a)
+	}
+	if i := placement.Choose(cs, a.PromptTokens); i >= 0 {
+		return us[i]
+	}
+	return nil
+}
+
+// candidates returns the upstreams that may take the ask. The one to avoid is
+// left out if there is any other that is open.
+func (s *Shard) candidates(now time.Time, a Ask, floor bool) []*upstream {
+	var us []*upstream
+	others := false
+	for _, name := range s.names {
+		u := s.upstreams[name]
+		if !u.open(now) {
+			continue
+		}
+		others = others || name != a.Avoid
+		if u.free() || (floor && u.floor == 0) {
+			us = append(us, u)
+		}
+	}
+	if !others || a.Avoid == "" {
+		return us
+	}
+	kept := us[:0]
+	for _, u := range us {
+		if u.Name != a.Avoid {
+			kept = append(kept, u)
+		}
+	}
+	return kept
+}
+
+func (u *upstream) candidate(now time.Time, a Ask) placement.Candidate {
+	seen, hit := u.prefixes[a.Prefix]
+	return placement.Candidate{
+		Name:      u.Name,
+		Running:   u.granted + u.floor,
+		Foreign:   u.foreign,
+		Limit:     u.limiter.Limit(),
+		TokenTime: u.tokenTime,
+		Prefix:    hit && a.Prefix != 0 && now.Sub(seen) < prefixLifetime,
+		Faults:    u.faults,
+		SameZone:  u.Zone == a.HolderZone,
+	}
+}
+
+func (s *Shard) placeInTurn(now time.Time) *upstream {
+	for range s.names {
+		u := s.upstreams[s.names[s.turn%len(s.names)]]
+		s.turn++
+		if u.open(now) && u.granted < u.limiter.Limit() {
+			return u
+		}
+	}
+	return nil
+}
+
+func (s *Shard) placeLeastReported(now time.Time) *upstream {
+	var best *upstream
+	for _, name := range s.names {
+		u := s.upstreams[name]
+		if !u.open(now) || u.granted >= u.limiter.Limit() {
+			continue
+		}
+		if best == nil || u.reported < best.reported {
+			best = u
+		}
+	}
+	return best
+}
+
+// floorGrant grants an ask that would not be admitted, if its class has a
+// floor dispatch due: one request an upstream may run beyond the limit for
+// this, so that no place in the queue is needed.
+func (s *Shard) floorGrant(now time.Time, a Ask) ([]Decision, bool) {
+	if now.Before(s.openAt) || !s.queue.FloorDue(a.Class) || s.queue.Waiting(a.Class) > 0 {
+		return nil, false
+	}
+	u := s.place(now, a, true)
+	if u == nil {
+		return nil, false
+	}
+	s.Check.Check(invariant.FloorSpent, s.queue.FloorDue(a.Class), "class %s has no floor due", a.Class)
+	s.queue.SpendFloor(a.Class)
+	return []Decision{s.grant(now, a, u, true)}, true
+}
+
+// preemptWaiting preempts for the first waiting request if it has waited long.
+func (s *Shard) preemptWaiting(now time.Time) []Decision {
+	if s.Policy != Tiered {
+		return nil
+	}
+	it := s.queue.Head(now)
+	if it == nil {
+		return nil
+	}
+	a := s.asks[it.ID]
+	wait := time.Duration(preemptAfter * float64(s.classes[a.Class].Target))
+	if now.Sub(a.Arrived) < wait {
+		return nil
+	}
+	return s.preemptFor(now, *a)
+}
+
+// preemptFor preempts one running request of a lower tier for the ask. There
+// are at most as many preemptions under way as requests of its rank or higher
+// wait.
+func (s *Shard) preemptFor(now time.Time, a Ask) []Decision {
+	if !s.classes[a.Class].Preempts || now.Before(s.openAt) {
+		return nil
+	}
+	under, victim := s.preemptable(now, a.Rank)
+	if victim == nil || under > s.queue.WaitingTo(a.Rank) {
+		return nil
+	}
+	s.Check.Check(invariant.PreemptLower, victim.Rank > a.Rank && victim.Restartable,
+		"shard %s preempts %s of rank %d for rank %d", s.Name, victim.ID, victim.Rank, a.Rank)
+	victim.Preempting = true
+	return []Decision{Preempt{Grant: *victim, For: a.ID}}
+}
+
+// preemptable returns the number of preemptions under way and the grant to be
+// preempted for the rank: of the lowest tier, then with the least tokens.
+func (s *Shard) preemptable(now time.Time, rank int) (int, *Grant) {
+	under := 0
+	var victim *Grant
+	for _, g := range s.grants {
+		if g.Preempting {
+			under++
+			continue
+		}
+		u := s.upstreams[g.Upstream]
+		if g.Rank <= rank || !g.Restartable || g.Floor || u == nil || !u.open(now) {
+			continue
+		}
+		if victim == nil || worse(g, victim) {
+			victim = g
+		}
+	}
+	return under, victim
+}
+
+func worse(g, than *Grant) bool {
+	if g.Rank != than.Rank {
+		return g.Rank > than.Rank
+	}
+	if g.Tokens != than.Tokens {
+		return g.Tokens < than.Tokens
+	}
+	if !g.Granted.Equal(than.Granted) {
+		return g.Granted.After(than.Granted)
+	}
+	return g.ID < than.ID
+}
--- /dev/null
+++ b/pool/shard.go
@@ -0,0 +1,370 @@
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"knapweedwell/invariant"
+	"knapweedwell/tier"
+)
+
+const (
+	// GrantLease is how long a grant lives without a report from its holder.
+	GrantLease = 4 * time.Second
+	// TakeoverWait is how long a new owner waits for reports of grants in use.
+	TakeoverWait = 1200 * time.Millisecond
+	// stallGap is the pause between ticks that counts as a freeze.
+	stallGap       = time.Second
+	unhealthyTime  = 2 * time.Second // unhealthyTime follows a failed request.
+	preemptAfter   = 0.25            // preemptAfter is the share of its target that a request waits before it preempts.
+	prefixLifetime = 2 * time.Minute
+	maxPrefixes    = 512 // maxPrefixes bounds the remembered prefixes of one upstream.
+	foreignMargin  = 2   // foreignMargin is the reported excess that lag alone explains.
+)
+
+// Shard decides for the upstreams of one shard. The exported fields are set
+// before the first call.
+type Shard struct {
+	Name   string
+	Policy Policy
+	Check  *invariant.Checker
+
+	settings  Settings
+	classes   map[string]Class
+	queue     *tier.Queue
+	asks      map[string]*Ask
+	grants    map[string]*Grant
+	upstreams map[string]*upstream
+	names     []string // names of upstreams, in order.
+	withdrawn map[string]time.Time
+	openAt    time.Time // openAt is when granting begins after a takeover.
+	ticked    time.Time
+	turn      int // turn is the next upstream under FIFO.
+}
+
+// New returns a shard that starts granting TakeoverWait after now.
+func New(name string, policy Policy, check *invariant.Checker, now time.Time) *Shard {
+	return &Shard{
+		Name:      name,
+		Policy:    policy,
+		Check:     check,
+		queue:     tier.NewQueue(),
+		asks:      map[string]*Ask{},
+		grants:    map[string]*Grant{},
+		upstreams: map[string]*upstream{},
+		withdrawn: map[string]time.Time{},
+		openAt:    now.Add(TakeoverWait),
+		ticked:    now,
+	}
+}
+
+// Configure puts settings in force. Settings of a lower revision are ignored.
+func (s *Shard) Configure(now time.Time, set Settings) []Decision {
+	if set.Revision < s.settings.Revision {
+		return nil
+	}
+	s.settings = set
+	s.classes = map[string]Class{}
+	classes := make([]tier.Class, len(set.Classes))
+	for i, c := range set.Classes {
+		s.classes[c.Name] = c
+		classes[i] = tier.Class{Name: c.Name, Rank: c.Rank, Weight: c.Weight, Floor: c.Floor}
+	}
+	s.queue.Configure(classes, set.Organisations)
+	s.setUpstreams(set.Upstreams)
+	return s.schedule(now)
+}
+
+func (s *Shard) setUpstreams(list []UpstreamSettings) {
+	old := s.upstreams
+	s.upstreams = map[string]*upstream{}
+	s.names = nil
+	for _, us := range list {
+		u := old[us.Name]
+		if u == nil {
+			u = &upstream{prefixes: map[uint64]time.Time{}}
+		}
+		u.UpstreamSettings = us
+		u.limiter.Max = us.Concurrency
+		u.limiter.Fixed = s.Policy != Tiered
+		s.upstreams[us.Name] = u
+		s.names = append(s.names, us.Name)
+	}
+	sort.Strings(s.names)
+}
+
+// Ask takes in a request for a grant.
+func (s *Shard) Ask(now time.Time, a Ask) []Decision {
+	if _, gone := s.withdrawn[a.ID]; gone {
+		return []Decision{Shed{Ask: a, Reason: Waited}}
+	}
+	if s.asks[a.ID] != nil || s.grants[a.ID] != nil {
+		return nil
+	}
+	if reason := s.refusal(now, a); reason != "" {
+		return []Decision{Shed{Ask: a, Reason: reason}}
+	}
+	out := s.admit(now, a)
+	return append(out, s.schedule(now)...)
+}
+
+func (s *Shard) refusal(now time.Time, a Ask) Reason {
+	if _, known := s.classes[a.Class]; !known && len(s.classes) > 0 {
+		return UnknownWork
+	}
+	for _, u := range s.upstreams {
+		if !u.Leaving && !u.draining {
+			return ""
+		}
+	}
+	if now.Before(s.openAt) && len(s.classes) == 0 {
+		return ""
+	}
+	return NoUpstream
+}
+
+// admit puts the ask into the queue, or decides what is shed if it is full.
+func (s *Shard) admit(now time.Time, a Ask) []Decision {
+	if s.queue.Len() < max(s.settings.QueueLimit, 1) {
+		s.push(a)
+		return nil
+	}
+	if s.Policy != Tiered {
+		return []Decision{Shed{Ask: a, Reason: QueueFull}}
+	}
+	if d, ok := s.floorGrant(now, a); ok {
+		return d
+	}
+	lowest := s.queue.LowestRank()
+	if lowest > a.Rank {
+		return s.displace(a)
+	}
+	if d := s.preemptFor(now, a); d != nil {
+		s.push(a)
+		return d
+	}
+	return s.shedEqual(a)
+}
+
+func (s *Shard) push(a Ask) {
+	s.asks[a.ID] = &a
+	s.queue.Push(s.item(a))
+}
+
+func (s *Shard) item(a Ask) *tier.Item {
+	it := &tier.Item{
+		ID:           a.ID,
+		Class:        a.Class,
+		Organisation: a.Organisation,
+		Rank:         a.Rank,
+		Cost:         max(a.Cost, 1),
+		Arrived:      a.Arrived,
+		Due:          a.Arrived.Add(s.classes[a.Class].Target),
+		Expires:      a.Expires,
+	}
+	if s.Policy != Tiered {
+		it.Rank, it.Class, it.Organisation, it.Due = 1, "", "", a.Arrived
+	}
+	return it
+}
+
+// displace sheds the queue's victim for an ask of a higher tier.
+func (s *Shard) displace(a Ask) []Decision {
+	victim := s.take(s.queue.Victim().ID)
+	s.checkShed(victim.Rank, a.Rank)
+	s.queue.Want(victim.Class)
+	s.push(a)
+	return []Decision{Shed{Ask: victim, Reason: Displaced}}
+}
+
+// shedEqual sheds one request of the lowest tier, which is the ask itself or
+// one of the class and organisation that crowd that tier.
+func (s *Shard) shedEqual(a Ask) []Decision {
+	s.queue.Want(a.Class)
+	if s.queue.LowestRank() < a.Rank {
+		s.checkShed(a.Rank, a.Rank)
+		return []Decision{Shed{Ask: a, Reason: QueueFull}}
+	}
+	s.push(a)
+	victim := s.take(s.queue.Victim().ID)
+	s.checkShed(victim.Rank, a.Rank)
+	return []Decision{Shed{Ask: victim, Reason: QueueFull}}
+}
+
+func (s *Shard) checkShed(shed, arrived int) {
+	lowest := max(s.queue.LowestRank(), arrived)
+	s.Check.Check(invariant.ShedLowest, shed >= lowest,
+		"shard %s shed rank %d while rank %d waits", s.Name, shed, lowest)
+}
+
+// take removes an ask from the queue and returns it.
+func (s *Shard) take(id string) Ask {
+	s.queue.Remove(id)
+	a := s.asks[id]
+	delete(s.asks, id)
+	return *a
+}
+
+// Withdraw takes back an ask or an unused grant. A withdrawal that overtakes
+// its ask is remembered.
+func (s *Shard) Withdraw(now time.Time, id string) []Decision {
+	switch {
+	case s.asks[id] != nil:
+		s.take(id)
+	case s.grants[id] != nil:
+		s.release(id)
+	default:
+		s.withdrawn[id] = now
+	}
+	return s.schedule(now)
+}
+
+// Refresh takes in the reports of all grants that a holder has in use. Grants
+// that are unknown here are adopted from it.
+func (s *Shard) Refresh(now time.Time, helds []Held) []Decision {
+	for _, h := range helds {
+		s.adopt(now, h)
+		s.observe(now, h.Report)
+	}
+	return s.schedule(now)
+}
+
+func (s *Shard) adopt(now time.Time, h Held) {
+	if h.Finished || s.grants[h.Grant] != nil || s.upstreams[h.Upstream] == nil {
+		return
+	}
+	if s.asks[h.Grant] != nil {
+		s.take(h.Grant)
+	}
+	s.grants[h.Grant] = &Grant{
+		ID:          h.Grant,
+		Holder:      h.Holder,
+		Upstream:    h.Upstream,
+		Class:       h.Class,
+		Rank:        h.Rank,
+		Restartable: h.Restartable,
+		Granted:     now,
+		Held:        now,
+	}
+	s.upstreams[h.Upstream].granted++
+}
+
+// Finish takes in the last report of a grant and frees its place.
+func (s *Shard) Finish(now time.Time, r Report) []Decision {
+	s.observe(now, r)
+	s.release(r.Grant)
+	return s.schedule(now)
+}
+
+// Load takes in a load report of an upstream: the requests that it says are
+// running, and whether it is draining.
+func (s *Shard) Load(now time.Time, name string, running int, draining bool) []Decision {
+	u := s.upstreams[name]
+	if u == nil {
+		return nil
+	}
+	u.reported = running
+	u.draining = draining
+	u.foreign = max(0, running-u.granted-u.floor-foreignMargin)
+	return s.schedule(now)
+}
+
+// observe books what a holder saw of a grant's request.
+func (s *Shard) observe(now time.Time, r Report) {
+	g := s.grants[r.Grant]
+	if g == nil {
+		return
+	}
+	g.Held = now
+	g.Tokens = r.Tokens
+	if r.Started {
+		g.Restartable = false
+	}
+	u := s.upstreams[g.Upstream]
+	if u == nil {
+		return
+	}
+	if r.Gaps > 0 {
+		u.tokenTime = smooth(u.tokenTime, r.MeanGap)
+		u.limiter.Observe(now, r.Gaps, r.MeanGap, s.classes[g.Class].BetweenToken, u.granted+u.floor)
+	}
+	s.judge(now, u, r)
+}
+
+// judge books a fault or a success of an upstream.
+func (s *Shard) judge(now time.Time, u *upstream, r Report) {
+	switch {
+	case r.Fault:
+		u.faults++
+		u.unhealthy = now.Add(unhealthyTime)
+	case r.Finished:
+		u.faults = 0
+	}
+}
+
+// smooth returns an exponentially weighted mean.
+func smooth(old, seen time.Duration) time.Duration {
+	if old == 0 {
+		return seen
+	}
+	return old + (seen-old)/5
+}
+
+func (s *Shard) release(id string) {
+	g := s.grants[id]
+	if g == nil {
+		return
+	}
+	delete(s.grants, id)
+	u := s.upstreams[g.Upstream]
+	if u == nil {
+		return
+	}
+	if g.Floor {
+		u.floor--
+		return
+	}
+	u.granted--
+}
+
+// Tick expires what has run out of time. It is called several times a second.
+func (s *Shard) Tick(now time.Time) []Decision {
+	if now.Sub(s.ticked) > stallGap {
+		s.resume(now)
+	}
+	s.ticked = now
+	var out []Decision
+	for _, it := range s.queue.Expired(now) {
+		a := *s.asks[it.ID]
+		delete(s.asks, it.ID)
+		out = append(out, Shed{Ask: a, Reason: Waited})
+	}
+	s.expireGrants(now)
+	s.expireWithdrawn(now)
+	return append(out, s.schedule(now)...)
+}
+
+// resume follows a freeze of this process: holders may have moved on, so
+// granting waits for their reports.
+func (s *Shard) resume(now time.Time) {
+	s.openAt = now.Add(TakeoverWait)
+	for _, g := range s.grants {
+		g.Held = now
+	}
+}
+
+func (s *Shard) expireGrants(now time.Time) {
+	for id, g := range s.grants {
+		if now.Sub(g.Held) > GrantLease {
+			s.release(id)
+		}
+	}
+}
+
+func (s *Shard) expireWithdrawn(now time.Time) {
+	for id, t := range s.withdrawn {
+		if now.Sub(t) > GrantLease {
+			delete(s.withdrawn, id)
+		}
+	}
+}
--- /dev/null
+++ b/request/failure.go
@@ -0,0 +1,107 @@
+package request
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// FailureType names how a request failed, exactly.
+type FailureType string
+
+// The types of failure.
+const (
+	// NotRun states that nothing of this request, nor of an earlier one with
+	// its idempotency key, was handed to any upstream.
+	NotRun FailureType = "not_run"
+	// OutcomeUnknown states that the request, or an earlier one with its
+	// idempotency key, may have run.
+	OutcomeUnknown FailureType = "outcome_unknown"
+	// Failed states that an upstream ran the request and reported a failure.
+	Failed FailureType = "failed"
+	// Invalid states that the request is malformed; it was not run.
+	Invalid FailureType = "invalid"
+	// Unauthorized states that the bearer key is unknown; it was not run.
+	Unauthorized FailureType = "unauthorized"
+)
+
+// Finding is one fault in a request body, with its place.
+type Finding struct {
+	Place   string
+	Message string
+}
+
+// Failure is the typed end of a request that got no whole answer.
+type Failure struct {
+	Type       FailureType
+	Status     int // Status is the HTTP status.
+	Message    string
+	RetryAfter time.Duration // RetryAfter is zero if a retry is not advised.
+	Findings   []Finding
+}
+
+// Error returns the type and the message.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s: %s", f.Type, f.Message)
+}
+
+// defaultRetryAfter is the wait advised with a refusal.
+const defaultRetryAfter = time.Second
+
+// Refuse returns a not_run failure for lack of capacity (HTTP 429).
+func Refuse(format string, args ...any) *Failure {
+	return &Failure{
+		Type:       NotRun,
+		Status:     http.StatusTooManyRequests,
+		Message:    fmt.Sprintf(format, args...),
+		RetryAfter: defaultRetryAfter,
+	}
+}
+
+// Unavailable returns a not_run failure for a missing upstream, configuration
+// or instance (HTTP 503).
+func Unavailable(format string, args ...any) *Failure {
+	return &Failure{
+		Type:       NotRun,
+		Status:     http.StatusServiceUnavailable,
+		Message:    fmt.Sprintf(format, args...),
+		RetryAfter: defaultRetryAfter,
+	}
+}
+
+// Unknown returns an outcome_unknown failure (HTTP 504).
+func Unknown(format string, args ...any) *Failure {
+	return &Failure{
+		Type:    OutcomeUnknown,
+		Status:  http.StatusGatewayTimeout,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
+
+// Broken returns a failed failure (HTTP 502).
+func Broken(format string, args ...any) *Failure {
+	return &Failure{
+		Type:    Failed,
+		Status:  http.StatusBadGateway,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
+
+// Malformed returns an invalid failure (HTTP 400) with all findings.
+func Malformed(findings []Finding) *Failure {
+	return &Failure{
+		Type:     Invalid,
+		Status:   http.StatusBadRequest,
+		Message:  "the request is malformed",
+		Findings: findings,
+	}
+}
+
+// Denied returns an unauthorized failure (HTTP 401).
+func Denied(format string, args ...any) *Failure {
+	return &Failure{
+		Type:    Unauthorized,
+		Status:  http.StatusUnauthorized,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,311 @@
+// Package session tests the programs as separate processes. The scripts in
+// testdata are whole sessions with their expected output.
+package session
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	ports     = 24
+	firstPort = 18000
+	lastPort  = 30000
+	patience  = 60 * time.Second
+	pollEvery = 50 * time.Millisecond
+)
+
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "knapweedwell")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir, "knapweedwell/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	return m.Run()
+}
+
+func TestSessions(t *testing.T) {
+	update := os.Getenv("UPDATE_SESSIONS") != ""
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		UpdateScripts:       update,
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"expand":     expand,
+			"start":      start,
+			"signal":     signalProcess,
+			"ended":      ended,
+			"until":      until,
+			"send":       send,
+			"background": background,
+			"answers":    answers,
+			"record":     record,
+		},
+	})
+}
+
+// processes are the processes of one script, by name.
+type processes struct {
+	mu      sync.Mutex
+	running map[string]*process
+	sends   sync.WaitGroup
+	results []string
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+type processesKey struct{}
+
+func setup(env *testscript.Env) error {
+	env.Setenv("PATH", programs+string(os.PathListSeparator)+os.Getenv("PATH"))
+	for i, port := range freePorts() {
+		env.Setenv("P"+strconv.Itoa(i), strconv.Itoa(port))
+	}
+	ps := &processes{running: map[string]*process{}}
+	env.Values[processesKey{}] = ps
+	env.Defer(ps.kill)
+	return nil
+}
+
+var portMu sync.Mutex
+
+var nextPort = firstPort + os.Getpid()%100*100
+
+// freePorts returns ports below the range that the system hands out.
+func freePorts() []int {
+	portMu.Lock()
+	defer portMu.Unlock()
+	var free []int
+	for len(free) < ports {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(nextPort))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		free = append(free, nextPort)
+	}
+	return free
+}
+
+func (ps *processes) kill() {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.running {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+func of(ts *testscript.TestScript) *processes {
+	return ts.Value(processesKey{}).(*processes)
+}
+
+// expand replaces $P0 and the like in files.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// start NAME PROGRAM ARGS starts a process that logs to NAME.log.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	log, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	cmd := exec.Command(filepath.Join(programs, args[1]), args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Stdout, cmd.Stderr = log, log
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	ps := of(ts)
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.running[args[0]] = p
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// signal NAME SIGNAL sends a signal.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	ps := of(ts)
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ts.Check(ps.running[args[0]].cmd.Process.Signal(signals[args[1]]))
+}
+
+// ended NAME CODE waits for the end of a process.
+func ended(ts *testscript.TestScript, _ bool, args []string) {
+	ps := of(ts)
+	ps.mu.Lock()
+	p := ps.running[args[0]]
+	delete(ps.running, args[0])
+	ps.mu.Unlock()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		ts.Fatalf("%s has not ended", args[0])
+	}
+	if got := strconv.Itoa(p.cmd.ProcessState.ExitCode()); got != args[1] {
+		ts.Fatalf("%s ended with %s, expected %s", args[0], got, args[1])
+	}
+}
+
+// until TEXT PROGRAM ARGS runs a program, or gets a URL, until the output
+// matches the text.
+func until(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[0])
+	deadline := time.Now().Add(patience)
+	var out []byte
+	for time.Now().Before(deadline) {
+		if strings.HasPrefix(args[1], "http") {
+			out = []byte(exchange(append([]string{http.MethodGet}, args[1:]...)))
+		} else {
+			cmd := exec.Command(filepath.Join(programs, args[1]), args[2:]...)
+			cmd.Dir = ts.MkAbs(".")
+			out, _ = cmd.CombinedOutput()
+		}
+		if pattern.Match(out) {
+			return
+		}
+		time.Sleep(pollEvery)
+	}
+	ts.Fatalf("no match for %q; the last output was:\n%s", args[0], out)
+}
+
+// send METHOD URL [Header:Value]... [BODY] sends a request and appends its
+// normalised answer to the file transcript.
+func send(ts *testscript.TestScript, _ bool, args []string) {
+	appendTo(ts, "transcript", "> "+normalize(strings.Join(args, " "))+"\n"+normalize(exchange(args)))
+}
+
+// background sends like send, but does not wait. The command answers collects
+// the answers.
+func background(ts *testscript.TestScript, _ bool, args []string) {
+	ps := of(ts)
+	ps.sends.Add(1)
+	go func() {
+		defer ps.sends.Done()
+		answer := exchange(args)
+		ps.mu.Lock()
+		defer ps.mu.Unlock()
+		ps.results = append(ps.results, answer)
+	}()
+}
+
+// answers FILE waits for the background answers and writes them to a file.
+func answers(ts *testscript.TestScript, _ bool, args []string) {
+	ps := of(ts)
+	ps.sends.Wait()
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Join(ps.results, "")), 0o600))
+	ps.results = nil
+}
+
+func exchange(args []string) string {
+	var body string
+	rest := args[2:]
+	if n := len(rest); n > 0 && strings.HasPrefix(rest[n-1], "{") {
+		body, rest = rest[n-1], rest[:n-1]
+	}
+	req, err := http.NewRequest(args[0], args[1], bytes.NewBufferString(body))
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	for _, h := range rest {
+		name, value, _ := strings.Cut(h, ":")
+		req.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * patience}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "no answer\n"
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	cut := ""
+	if err != nil {
+		cut = "CUT\n"
+	}
+	return fmt.Sprintf("%s\n%s\n%s", resp.Status, strings.TrimSpace(string(answer)), cut)
+}
+
+// record PROGRAM ARGS runs a program and appends its normalised output to the
+// file transcript.
+func record(ts *testscript.TestScript, _ bool, args []string) {
+	cmd := exec.Command(filepath.Join(programs, args[0]), args[1:]...)
+	cmd.Dir = ts.MkAbs(".")
+	out, _ := cmd.CombinedOutput()
+	appendTo(ts, "transcript", fmt.Sprintf("$ %s\n%s[exit %d]\n", normalize(strings.Join(args, " ")), normalize(string(out)), cmd.ProcessState.ExitCode()))
+}
+
+func appendTo(ts *testscript.TestScript, name, text string) {
+	f, err := os.OpenFile(ts.MkAbs(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	_, err = f.WriteString(text)
+	ts.Check(err)
+	ts.Check(f.Close())
+}
+
+// normalizers replace what differs from run to run.
+var normalizers = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`kw1\.[^"\s]+`), "TICKET"},
+	{regexp.MustCompile(`(entry-\d)-[0-9a-f]{8}-[0-9a-f]{4}(\.\d+)?`), "$1-ID"},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f-]{22}`), "UUID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`), "TIME"},
+	{regexp.MustCompile(`\d+(\.\d+)?(ms|µs)`), "DURATION"},
+	{regexp.MustCompile(`\+\d+(\.\d+)?s?\s+`), "+DURATION "},
+	{regexp.MustCompile(`( +)\d+s( +)`), "  AGE  "},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`(by) \w+,`), "$1 AUTHOR,"},
+}
+
+func normalize(text string) string {
+	for _, n := range normalizers {
+		text = n.pattern.ReplaceAllString(text, n.with)
+	}
+	return text
+}
--- /dev/null
+++ b/shard/shard.go
@@ -0,0 +1,134 @@
+// Package shard cuts the upstreams of a configuration into pools, one for each
+// target and region, and the pools into shards.
+package shard
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"knapweedwell/config"
+	"knapweedwell/pool"
+)
+
+// Shard is a part of a pool that one instance owns.
+type Shard struct {
+	Name      string
+	Target    string
+	Region    string
+	Upstreams []string
+}
+
+// Plan is the division of one configuration into shards.
+type Plan struct {
+	ByName map[string]*Shard
+	byPool map[string][]*Shard
+}
+
+func poolName(target, region string) string {
+	return target + "/" + region
+}
+
+// New returns the plan of a configuration.
+func New(c *config.Config) *Plan {
+	pools := map[string][]string{}
+	for _, name := range c.UpstreamNames() {
+		u := c.Upstreams[name]
+		key := poolName(u.Target, u.Region)
+		pools[key] = append(pools[key], name)
+	}
+	p := &Plan{ByName: map[string]*Shard{}, byPool: map[string][]*Shard{}}
+	for key, names := range pools {
+		first := c.Upstreams[names[0]]
+		p.cut(key, c.Targets[first.Target], first.Region, names)
+	}
+	return p
+}
+
+// cut divides a pool's upstreams over its shards by rendezvous hashing, so
+// that a new upstream moves no other.
+func (p *Plan) cut(key string, t *config.Target, region string, names []string) {
+	n := 1
+	if t.ShardUpstreams > 0 {
+		n = (len(names) + t.ShardUpstreams - 1) / t.ShardUpstreams
+	}
+	slots := make([]string, n)
+	for i := range slots {
+		slots[i] = fmt.Sprintf("%s/%d", key, i)
+	}
+	table := rendezvous.New(slots, xxhash.Sum64String)
+	for _, name := range names {
+		s := p.shard(table.Lookup(name), t.Name, region)
+		s.Upstreams = append(s.Upstreams, name)
+	}
+	for _, slot := range slots {
+		if s := p.ByName[slot]; s != nil {
+			p.byPool[key] = append(p.byPool[key], s)
+		}
+	}
+}
+
+func (p *Plan) shard(name, target, region string) *Shard {
+	s := p.ByName[name]
+	if s == nil {
+		s = &Shard{Name: name, Target: target, Region: region}
+		p.ByName[name] = s
+	}
+	return s
+}
+
+// Pool returns the shards of a target in a region.
+func (p *Plan) Pool(target, region string) []*Shard {
+	return p.byPool[poolName(target, region)]
+}
+
+// Names returns the names of all shards in order.
+func (p *Plan) Names() []string {
+	names := make([]string, 0, len(p.ByName))
+	for name := range p.ByName {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Settings returns what the shard needs of the configuration.
+func (s *Shard) Settings(c *config.Config, revision int64) pool.Settings {
+	set := pool.Settings{
+		Revision:      revision,
+		Organisations: map[string]float64{},
+		QueueLimit:    c.Targets[s.Target].QueueLimit,
+	}
+	for _, name := range c.ClassNames() {
+		set.Classes = append(set.Classes, class(c, c.Classes[name]))
+	}
+	for name, o := range c.Organisations {
+		set.Organisations[name] = o.Weight
+	}
+	for _, name := range s.Upstreams {
+		u := c.Upstreams[name]
+		set.Upstreams = append(set.Upstreams, pool.UpstreamSettings{
+			Name:        u.Name,
+			Address:     u.Address,
+			Zone:        u.Zone,
+			Concurrency: u.Concurrency,
+			Leaving:     u.Leaving,
+		})
+	}
+	return set
+}
+
+func class(c *config.Config, cl *config.Class) pool.Class {
+	return pool.Class{
+		Name:         cl.Name,
+		Rank:         cl.Rank,
+		Preempts:     c.Tiers[cl.Tier].Preempts,
+		Weight:       cl.Weight,
+		Floor:        cl.Floor,
+		Target:       cl.Target(),
+		BetweenToken: cl.BetweenToken,
+		QueueTimeout: cl.QueueTimeout,
+	}
+}
--- /dev/null
+++ b/standin/load/scenario.go
@@ -0,0 +1,88 @@
+// Package load is an open-loop load generator. It reports by class what
+// callers saw: attainment, goodput and wasted work.
+package load
+
+import (
+	"os"
+	"time"
+
+	"knapweedwell/inifile"
+)
+
+// Scenario is a load over time.
+type Scenario struct {
+	Name     string
+	Seed     uint64
+	Duration time.Duration
+	Streams  []Stream
+}
+
+// Stream is the load of one class.
+type Stream struct {
+	Class      string
+	Key        string // Key is the organisation's bearer key.
+	Model      string
+	Service    string
+	Rate       float64 // Rate is the mean requests a second.
+	Burst      float64 // Burst multiplies the rate between BurstFrom and BurstTo.
+	BurstFrom  time.Duration
+	BurstTo    time.Duration
+	Tokens     int // Tokens is the median answer length, with a heavy tail.
+	Prompt     int // Prompt is the prompt length in bytes.
+	Streamed   bool
+	FirstToken time.Duration
+	Between    time.Duration
+	Whole      time.Duration
+}
+
+// Read reads a scenario file. The error, if any, is of type inifile.Findings.
+func Read(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, inifile.Findings{{File: path, Line: 1, Message: err.Error()}}
+	}
+	return Parse(path, string(text))
+}
+
+// Parse reads a scenario from text.
+func Parse(name, text string) (*Scenario, error) {
+	f := inifile.Parse(name, text)
+	sc := &Scenario{Name: name, Seed: 1, Duration: 10 * time.Second}
+	for _, s := range f.Sections {
+		r := f.Read(s)
+		switch s.Kind {
+		case "Scenario":
+			sc.Seed = uint64(r.Int("Seed", 1, 0, 1<<30))
+			sc.Duration = r.Duration("Duration", 10*time.Second, time.Millisecond)
+		case "Load":
+			sc.Streams = append(sc.Streams, readStream(r, s.Name))
+		default:
+			r.Find("", "unknown section; expected [Scenario] or [Load CLASS]")
+			continue
+		}
+		r.Finish()
+	}
+	if len(f.Findings) > 0 {
+		return nil, f.Findings
+	}
+	return sc, nil
+}
+
+func readStream(r *inifile.Reader, class string) Stream {
+	return Stream{
+		Class:      class,
+		Key:        r.Required("Key", "the organisation's bearer key"),
+		Model:      r.Text("Model", ""),
+		Service:    r.Text("Service", ""),
+		Rate:       r.Float("Rate", 1, 0.001, 100000),
+		Burst:      r.Float("Burst", 1, 0, 1000),
+		BurstFrom:  r.Duration("BurstFrom", 0, 0),
+		BurstTo:    r.Duration("BurstTo", 0, 0),
+		Tokens:     r.Int("Tokens", 20, 1, 100000),
+		Prompt:     r.Int("Prompt", 400, 1, 1<<20),
+		Streamed:   r.Bool("Stream", true),
+		FirstToken: r.Duration("FirstToken", 0, 0),
+		Between:    r.Duration("BetweenToken", 0, 0),
+		Whole:      r.Duration("Whole", 0, 0),
+	}
+}
--- /dev/null
+++ b/terminal/read.go
@@ -0,0 +1,257 @@
+package terminal
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"knapweedwell/config"
+	"knapweedwell/metric"
+	"knapweedwell/operator"
+	"knapweedwell/pool"
+)
+
+func (t *Terminal) table(write func(w *tabwriter.Writer)) error {
+	w := tabwriter.NewWriter(t.Out, 0, 4, 2, ' ', 0)
+	write(w)
+	return w.Flush()
+}
+
+// read returns a command that prints something of the reports of all
+// instances.
+func (t *Terminal) read(name, help string, pick func([]operator.Report) any, text func([]operator.Report) error) *ffcli.Command {
+	return t.command(name, "", help, nil, func(ctx context.Context, c *operator.Client, _ []string) error {
+		reports, err := c.Reports(ctx)
+		if err != nil {
+			return err
+		}
+		if t.jsonWanted() {
+			return t.json(pick(reports))
+		}
+		return text(reports)
+	})
+}
+
+func (t *Terminal) status() *ffcli.Command {
+	return t.read("status", "show all instances with their revision and its age",
+		func(rs []operator.Report) any { return rs }, t.printStatus)
+}
+
+func (t *Terminal) printStatus(reports []operator.Report) error {
+	violated := int64(0)
+	err := t.table(func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "INSTANCE\tSTATE\tREGION\tZONE\tREVISION\tAGE\tRUNNING\tSHARDS\tTICKETS\tNOTE")
+		for _, r := range reports {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%s\n", r.Member.Name, r.State, r.Member.Region, r.Member.Zone,
+				r.Revision, r.Age.Round(time.Second), r.Running, len(r.Shards), r.Tickets, note(r))
+			for _, n := range r.Invariants {
+				violated += n.Violated
+			}
+		}
+	})
+	if violated > 0 {
+		fmt.Fprintf(t.Out, "%d violations of invariants; see the logs for \"invariant violated\"\n", violated)
+	}
+	return err
+}
+
+func note(r operator.Report) string {
+	switch {
+	case !r.Reached:
+		return "does not answer"
+	case r.CutOff:
+		return "reaches neither the platform nor an instance"
+	}
+	return ""
+}
+
+func (t *Terminal) upstreams() *ffcli.Command {
+	return t.read("upstreams", "show all upstreams with their load",
+		func(rs []operator.Report) any { return views(rs) },
+		func(rs []operator.Report) error {
+			return t.table(func(w *tabwriter.Writer) {
+				fmt.Fprintln(w, "UPSTREAM\tSTATE\tGRANTED\tLIMIT\tMAX\tREPORTED\tTOKEN TIME\tSHARD")
+				for _, v := range views(rs) {
+					for _, u := range v.Upstreams {
+						fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", u.Name, u.State, u.Granted, u.Limit, u.Max,
+							u.Reported, u.TokenTime.Round(time.Millisecond), v.Shard)
+					}
+				}
+			})
+		})
+}
+
+// views returns the state of all shards, each as its busiest reporter sees it.
+func views(reports []operator.Report) []pool.View {
+	best := map[string]pool.View{}
+	for _, r := range reports {
+		for _, v := range r.Shards {
+			if old, seen := best[v.Shard]; !seen || v.Revision > old.Revision || granted(v) > granted(old) {
+				best[v.Shard] = v
+			}
+		}
+	}
+	all := make([]pool.View, 0, len(best))
+	for _, v := range best {
+		all = append(all, v)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Shard < all[j].Shard })
+	return all
+}
+
+func granted(v pool.View) int {
+	n := 0
+	for _, u := range v.Upstreams {
+		n += u.Granted
+	}
+	return n
+}
+
+func (t *Terminal) classes() *ffcli.Command {
+	return t.read("classes", "show attainment, goodput and wasted work by class",
+		func(rs []operator.Report) any { return totals(rs) }, t.printClasses)
+}
+
+func (t *Terminal) printClasses(reports []operator.Report) error {
+	return t.table(func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "CLASS\tREQUESTS\tOK\tATTAINED\tREFUSED\tUNKNOWN\tFAILED\tPREEMPTED\tTOKENS\tWASTED\tFIRST TOKEN")
+		for _, c := range totals(reports) {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", c.Class, c.Requests, c.OK, share(c.Attained, c.Requests),
+				c.Refused, c.Unknown, c.Failed, c.Preempted, c.Tokens, c.Wasted, mean(c))
+		}
+	})
+}
+
+func share(n, of int64) string {
+	if of == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(n)/float64(of))
+}
+
+func mean(c metric.Totals) time.Duration {
+	if c.OK == 0 {
+		return 0
+	}
+	return (c.FirstToken / time.Duration(c.OK)).Round(time.Millisecond)
+}
+
+// totals adds up the counts of all instances by class.
+func totals(reports []operator.Report) []metric.Totals {
+	sum := map[string]*metric.Totals{}
+	for _, r := range reports {
+		for _, c := range r.Totals {
+			if sum[c.Class] == nil {
+				sum[c.Class] = &metric.Totals{Class: c.Class}
+			}
+			sum[c.Class].Merge(c)
+		}
+	}
+	all := make([]metric.Totals, 0, len(sum))
+	for _, c := range sum {
+		all = append(all, *c)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Class < all[j].Class })
+	return all
+}
+
+func (t *Terminal) top() *ffcli.Command {
+	var period time.Duration
+	var rounds int
+	flags := func(fs *flag.FlagSet) {
+		fs.DurationVar(&period, "period", 2*time.Second, "`time` between two tables")
+		fs.IntVar(&rounds, "n", 0, "number of tables; 0 means until interrupted")
+	}
+	return t.command("top", "", "show the class table again and again", flags,
+		func(ctx context.Context, c *operator.Client, _ []string) error {
+			for n := 0; rounds == 0 || n < rounds; n++ {
+				if n > 0 {
+					select {
+					case <-ctx.Done():
+						return nil
+					case <-time.After(period):
+					}
+				}
+				reports, err := c.Reports(ctx)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(t.Out, "\x1b[H\x1b[2J%s\n", time.Now().UTC().Format(time.RFC3339))
+				if err := t.printClasses(reports); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+}
+
+func (t *Terminal) explain() *ffcli.Command {
+	return t.command("explain", "REQUEST-ID", "tell what happened to a request", nil,
+		func(ctx context.Context, c *operator.Client, args []string) error {
+			if err := want(args, 1, "one request ID"); err != nil {
+				return err
+			}
+			found, err := c.Explain(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			if t.jsonWanted() {
+				return t.json(found)
+			}
+			if len(found) == 0 {
+				return fail(ExitFailed, "no instance remembers request %s", args[0])
+			}
+			for _, e := range found {
+				fmt.Fprintf(t.Out, "instance %s\n", e.Instance)
+				for _, l := range e.Lines {
+					fmt.Fprintf(t.Out, "  +%-8s %s\n", l.At.Sub(e.Lines[0].At).Round(time.Millisecond), l.Text)
+				}
+			}
+			return nil
+		})
+}
+
+func (t *Terminal) hashKey() *ffcli.Command {
+	return t.plain("hash-key", "< KEY-FILE", "print the KeySHA256 of a bearer key read from standard input",
+		func(context.Context, []string) error {
+			text, err := t.readFile("-")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(t.Out, config.HashKey(strings.TrimSpace(text)))
+			return nil
+		})
+}
+
+func (t *Terminal) releaseNotes() *ffcli.Command {
+	return t.plain("release-notes", "", "print what was added, changed and withdrawn",
+		func(context.Context, []string) error {
+			fmt.Fprint(t.Out, t.Notes)
+			return nil
+		})
+}
+
+func (t *Terminal) demo() *ffcli.Command {
+	return t.plain("demo", "", "run one instance with stand-ins in this process and send it requests",
+		func(ctx context.Context, _ []string) error {
+			return t.Demo(ctx, t.Out)
+		})
+}
+
+func (t *Terminal) completion(root *ffcli.Command) *ffcli.Command {
+	return t.plain("completion", "", "print a completion script for bash",
+		func(context.Context, []string) error {
+			var names []string
+			for _, c := range root.Subcommands {
+				names = append(names, c.Name)
+			}
+			fmt.Fprintf(t.Out, "complete -W %q knapweedwell\n", strings.Join(names, " "))
+			return nil
+		})
+}
--- /dev/null
+++ b/terminal/terminal.go
@@ -0,0 +1,178 @@
+// Package terminal is the operators' command line.
+package terminal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"knapweedwell/operator"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // ExitFailed means that the command did not succeed.
+	ExitUsage    = 2 // ExitUsage means that the command line or a file is not sound.
+	ExitConflict = 3 // ExitConflict means that another change came first.
+	ExitUnclear  = 4 // ExitUnclear means that it is not known whether the change was written.
+	ExitWaiting  = 5 // ExitWaiting means that the change is not yet in force everywhere.
+)
+
+// exit is an error with an exit code.
+type exit struct {
+	code int
+	text string
+}
+
+// Error returns the text.
+func (e *exit) Error() string {
+	return e.text
+}
+
+func fail(code int, format string, args ...any) error {
+	return &exit{code: code, text: fmt.Sprintf(format, args...)}
+}
+
+// Terminal runs commands. Its fields are set before Run.
+type Terminal struct {
+	In    io.Reader
+	Out   io.Writer
+	Err   io.Writer
+	Notes string                                         // Notes are the release notes.
+	Demo  func(ctx context.Context, out io.Writer) error // Demo runs the embedded demonstration.
+	flags common
+}
+
+// common are the flags of all commands that call an instance.
+type common struct {
+	address string
+	key     string
+	output  string
+}
+
+const envPrefix = "KNAPWEEDWELL"
+
+// Run runs one command line and returns its exit code.
+func (t *Terminal) Run(ctx context.Context, args []string) int {
+	root := t.root()
+	if err := root.Parse(args); err != nil {
+		return t.report(err, ExitUsage)
+	}
+	return t.report(root.Run(ctx), ExitFailed)
+}
+
+func (t *Terminal) report(err error, code int) int {
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	var e *exit
+	if errors.As(err, &e) {
+		code = e.code
+	}
+	fmt.Fprintf(t.Err, "knapweedwell: %v\n", err)
+	return code
+}
+
+func (t *Terminal) root() *ffcli.Command {
+	root := &ffcli.Command{
+		Name:       "knapweedwell",
+		ShortUsage: "knapweedwell COMMAND [flags] [arguments]",
+		ShortHelp:  "operate instances of the router",
+		LongHelp: "Exit codes: 0 success, 1 failure, 2 unsound command line or file,\n" +
+			"3 conflict with another change, 4 outcome unclear, 5 not yet in force everywhere.\n" +
+			"Flags can be set by environment, such as KNAPWEEDWELL_ADDRESS.",
+		FlagSet: t.set("knapweedwell"),
+	}
+	root.Subcommands = []*ffcli.Command{
+		t.apply(), t.diff(), t.get(), t.history(), t.drain(),
+		t.status(), t.upstreams(), t.classes(), t.top(), t.explain(),
+		t.hashKey(), t.releaseNotes(), t.completion(root), t.demo(),
+	}
+	root.Exec = func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return fail(ExitUsage, "unknown command %q; see knapweedwell -h", args[0])
+		}
+		fmt.Fprintln(t.Out, ffcli.DefaultUsageFunc(root))
+		return nil
+	}
+	return root
+}
+
+func (t *Terminal) set(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(t.Err)
+	return fs
+}
+
+// command returns a command that calls an instance.
+func (t *Terminal) command(name, usage, help string, flags func(*flag.FlagSet), run func(context.Context, *operator.Client, []string) error) *ffcli.Command {
+	fs := t.set(name)
+	fs.StringVar(&t.flags.address, "address", "127.0.0.1:7003", "operator `IP:port` of an instance")
+	fs.StringVar(&t.flags.key, "key", "", "operator `key`")
+	fs.StringVar(&t.flags.output, "o", "text", "output `format`: text or json")
+	if flags != nil {
+		flags(fs)
+	}
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "knapweedwell " + name + " " + usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			if t.flags.output != "text" && t.flags.output != "json" {
+				return fail(ExitUsage, "-o %s: expected text or json", t.flags.output)
+			}
+			return run(ctx, &operator.Client{Address: t.flags.address, Key: t.flags.key}, args)
+		},
+	}
+}
+
+// plain returns a command that calls no instance.
+func (t *Terminal) plain(name, usage, help string, run func(context.Context, []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: strings.TrimSpace("knapweedwell " + name + " " + usage),
+		ShortHelp:  help,
+		FlagSet:    t.set(name),
+		Exec:       run,
+	}
+}
+
+func (t *Terminal) jsonWanted() bool {
+	return t.flags.output == "json"
+}
+
+func (t *Terminal) json(v any) error {
+	e := json.NewEncoder(t.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func (t *Terminal) readFile(path string) (string, error) {
+	if path == "-" {
+		text, err := io.ReadAll(t.In)
+		return string(text), err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fail(ExitUsage, "%v", err)
+	}
+	return string(text), nil
+}
+
+func want(args []string, n int, what string) error {
+	if len(args) != n {
+		return fail(ExitUsage, "expected %s", what)
+	}
+	return nil
+}
--- /dev/null
+++ b/tier/queue.go
@@ -0,0 +1,383 @@
+package tier
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// Class describes one class to a queue.
+type Class struct {
+	Name   string
+	Rank   int
+	Weight float64
+	Floor  float64
+}
+
+// Queue orders the waiting items of one shard. Classes and Organisations are
+// set by Configure before the first Push.
+type Queue struct {
+	levels  map[int]*level
+	ranks   []int // ranks are in ascending order.
+	items   map[string]*Item
+	late    map[string]bool
+	classes map[string]Class
+	weights map[string]float64 // weights of organisations.
+	floors  []*floor           // floors are in the order of class names.
+	byClass map[string]*floor
+	expiry  expiryHeap
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue {
+	return &Queue{
+		levels:  map[int]*level{},
+		items:   map[string]*Item{},
+		late:    map[string]bool{},
+		classes: map[string]Class{},
+		weights: map[string]float64{},
+		byClass: map[string]*floor{},
+	}
+}
+
+// Configure sets the classes and the weights of organisations. Items that
+// already wait keep their place.
+func (q *Queue) Configure(classes []Class, weights map[string]float64) {
+	q.classes = map[string]Class{}
+	q.weights = weights
+	q.floors = nil
+	old := q.byClass
+	q.byClass = map[string]*floor{}
+	for _, c := range classes {
+		q.classes[c.Name] = c
+		f := old[c.Name]
+		if f == nil {
+			f = &floor{class: c.Name}
+		}
+		f.rank, f.share = c.Rank, c.Floor
+		q.byClass[c.Name] = f
+		q.floors = append(q.floors, f)
+	}
+	sort.Slice(q.floors, func(i, j int) bool { return q.floors[i].class < q.floors[j].class })
+}
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int {
+	return len(q.items)
+}
+
+// Has reports whether the item waits.
+func (q *Queue) Has(id string) bool {
+	return q.items[id] != nil
+}
+
+// Waiting returns the number of waiting items of a class.
+func (q *Queue) Waiting(class string) int {
+	n := 0
+	for _, l := range q.levels {
+		if c := l.classes[class]; c != nil {
+			n += c.waiting()
+		}
+	}
+	return n
+}
+
+// WaitingTo returns the number of waiting items of the rank and all higher
+// tiers.
+func (q *Queue) WaitingTo(rank int) int {
+	n := 0
+	for _, r := range q.ranks {
+		if r <= rank {
+			n += q.levels[r].waiting
+		}
+	}
+	return n
+}
+
+// HighestRank returns the rank of the highest waiting tier, or zero.
+func (q *Queue) HighestRank() int {
+	for _, rank := range q.ranks {
+		if q.levels[rank].waiting > 0 {
+			return rank
+		}
+	}
+	return 0
+}
+
+// LowestRank returns the rank of the lowest waiting tier, or zero.
+func (q *Queue) LowestRank() int {
+	for i := len(q.ranks) - 1; i >= 0; i-- {
+		if q.levels[q.ranks[i]].waiting > 0 {
+			return q.ranks[i]
+		}
+	}
+	return 0
+}
+
+func (q *Queue) level(rank int) *level {
+	l := q.levels[rank]
+	if l == nil {
+		l = newLevel(rank)
+		q.levels[rank] = l
+		q.ranks = append(q.ranks, rank)
+		sort.Ints(q.ranks)
+	}
+	return l
+}
+
+func (q *Queue) weight(org string) float64 {
+	if w := q.weights[org]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// Push adds an item. It panics if an item with its ID already waits.
+func (q *Queue) Push(it *Item) {
+	if q.items[it.ID] != nil {
+		panic("tier: item " + it.ID + " pushed twice")
+	}
+	l := q.level(it.Rank)
+	w := q.classes[it.Class].Weight
+	if w <= 0 {
+		w = 1
+	}
+	c := l.class(it.Class, w)
+	if c.waiting() == 0 {
+		c.catchUp(l.pass)
+	}
+	o := c.org(it.Organisation, q.weight(it.Organisation))
+	if o.line.len() == 0 {
+		o.catchUp(c.orgPass)
+		heap.Push(&c.active, o)
+	}
+	o.line.push(it)
+	c.onTime++
+	l.waiting++
+	q.items[it.ID] = it
+	heap.Push(&q.expiry, it)
+	q.Want(it.Class)
+}
+
+// Want records that a class has demand, also if its request was not admitted.
+func (q *Queue) Want(class string) {
+	if f := q.byClass[class]; f != nil {
+		f.demand = true
+	}
+}
+
+// Remove takes out an item and returns it, or nil if it does not wait.
+func (q *Queue) Remove(id string) *Item {
+	it := q.items[id]
+	if it == nil {
+		return nil
+	}
+	l := q.levels[it.Rank]
+	c := l.classes[it.Class]
+	if q.late[id] {
+		c.late.remove(it)
+	} else {
+		q.takeOnTime(c, it)
+	}
+	q.forget(l, it)
+	return it
+}
+
+func (q *Queue) takeOnTime(c *classFlow, it *Item) {
+	o := c.orgs[it.Organisation]
+	o.line.remove(it)
+	c.onTime--
+	if o.line.len() > 0 {
+		return
+	}
+	heap.Remove(&c.active, o.index)
+}
+
+func (q *Queue) forget(l *level, it *Item) {
+	delete(q.items, it.ID)
+	delete(q.late, it.ID)
+	l.waiting--
+}
+
+// Next returns the item that is dispatched next without taking it out, and
+// whether it is dispatched for its class's floor. It returns nil if none waits.
+func (q *Queue) Next(now time.Time) (*Item, bool) {
+	if it := q.floorItem(); it != nil {
+		return it, true
+	}
+	return q.Head(now), false
+}
+
+// floorItem returns the first item of the class with the most credit due.
+func (q *Queue) floorItem() *Item {
+	var best *floor
+	for _, f := range q.floors {
+		if f.due() && (best == nil || f.credit > best.credit) && q.Waiting(f.class) > 0 {
+			best = f
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return q.firstOf(best.class)
+}
+
+func (q *Queue) firstOf(class string) *Item {
+	for _, rank := range q.ranks {
+		c := q.levels[rank].classes[class]
+		if c == nil || c.waiting() == 0 {
+			continue
+		}
+		if c.onTime > 0 {
+			return c.active[0].line.first()
+		}
+		return c.late.first()
+	}
+	return nil
+}
+
+// Head returns the first item in regular order: of the highest tier, first
+// those that can still be on time.
+func (q *Queue) Head(now time.Time) *Item {
+	rank := q.HighestRank()
+	if rank == 0 {
+		return nil
+	}
+	l := q.levels[rank]
+	for {
+		c := l.next(func(c *classFlow) bool { return c.onTime > 0 })
+		if c == nil {
+			return l.next(func(c *classFlow) bool { return c.late.len() > 0 }).late.first()
+		}
+		it := c.active[0].line.first()
+		if now.Before(it.Due) {
+			return it
+		}
+		q.takeOnTime(c, it)
+		c.late.push(it)
+		q.late[it.ID] = true
+	}
+}
+
+// Dispatch takes out the item, charges its class and organisation and settles
+// the floors.
+func (q *Queue) Dispatch(it *Item) {
+	l := q.levels[it.Rank]
+	c := l.classes[it.Class]
+	l.pass = c.pass
+	c.charge(it.Cost)
+	if o := c.orgs[it.Organisation]; o != nil && !q.late[it.ID] {
+		c.orgPass = o.pass
+		o.charge(it.Cost)
+		heap.Fix(&c.active, o.index)
+	}
+	q.Remove(it.ID)
+	q.settle(it.Class)
+}
+
+// settle books one dispatch of the class to all floors.
+func (q *Queue) settle(class string) {
+	for _, f := range q.floors {
+		waits := q.Waiting(f.class) > 0
+		if f.class == class {
+			f.spend()
+			f.demand = waits
+			continue
+		}
+		f.accrue()
+		if waits {
+			f.missed++
+		} else {
+			f.missed = 0
+		}
+	}
+}
+
+// FloorDue reports whether the class has a floor dispatch due.
+func (q *Queue) FloorDue(class string) bool {
+	f := q.byClass[class]
+	return f != nil && f.due()
+}
+
+// SpendFloor books a dispatch of the class for its floor that did not pass
+// through the queue.
+func (q *Queue) SpendFloor(class string) {
+	q.settle(class)
+}
+
+// Starved returns a class that waits and saw more dispatches of others than
+// its floor allows, or the empty string.
+func (q *Queue) Starved() string {
+	for _, f := range q.floors {
+		if f.missed > f.maxMissed(len(q.floors)) {
+			return f.class
+		}
+	}
+	return ""
+}
+
+// Victim returns the item that is shed first: of the lowest waiting tier, of
+// the class and organisation with the most waiting for their weight, late ones
+// before those on time, the newest first. It returns nil if none waits.
+func (q *Queue) Victim() *Item {
+	rank := q.LowestRank()
+	if rank == 0 {
+		return nil
+	}
+	c := q.levels[rank].largest()
+	if c.late.len() > 0 {
+		return c.late.last()
+	}
+	return c.largest().line.last()
+}
+
+// Expired takes out and returns the items whose Expires is not after now.
+func (q *Queue) Expired(now time.Time) []*Item {
+	var out []*Item
+	for len(q.expiry) > 0 {
+		it := q.expiry[0]
+		gone := q.items[it.ID] != it
+		if !gone && now.Before(it.Expires) {
+			break
+		}
+		heap.Pop(&q.expiry)
+		if !gone {
+			q.Remove(it.ID)
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// Items returns all waiting items, in no order.
+func (q *Queue) Items() []*Item {
+	all := make([]*Item, 0, len(q.items))
+	for _, it := range q.items {
+		all = append(all, it)
+	}
+	return all
+}
+
+// expiryHeap orders items by Expires. Items that left the queue stay until
+// their time and are then dropped.
+type expiryHeap []*Item
+
+// Len returns the number of items.
+func (h expiryHeap) Len() int { return len(h) }
+
+// Less orders by Expires.
+func (h expiryHeap) Less(i, j int) bool { return h[i].Expires.Before(h[j].Expires) }
+
+// Swap exchanges two items.
+func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push appends an item.
+func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*Item)) }
+
+// Pop takes the last item.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
