--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"knapweedwell/kernel"
@@ -32,7 +34,14 @@
 type Beat struct {
 	From      member.Member
 	News      []member.Member
-	Departing []string
+	Departing []Departing
+}
+
+// Departing is an upstream that the platform listed as leaving, and the time
+// since. The age is passed on, so that the news ends everywhere.
+type Departing struct {
+	Name string
+	Age  time.Duration
 }
 
 // Service keeps the view of the fleet. The exported fields are set before Run.
@@ -190,20 +199,30 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			s.beat(ctx, m.Peer)
+			s.judge(m, s.beat(ctx, m.Peer))
 		}()
 	}
 	wait.Wait()
 }
 
-func (s *Service) beat(ctx context.Context, address string) {
+// judge notes that a refused connection means that the instance is not
+// running, which silence alone does not tell.
+func (s *Service) judge(m member.Member, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	s.With(func(v *member.View) { v.Absent(m.Name) })
+}
+
+func (s *Service) beat(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer Beat
 	if err := s.Peers.Call(ctx, address, exchangeMethod, s.own(), &answer); err != nil {
-		return
+		return err
 	}
 	s.merge(answer)
+	return nil
 }
 
 // own returns what this instance says in a heartbeat.
@@ -212,15 +231,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view.Self.Revision = revision
-	b := Beat{From: s.view.Self, News: s.view.News(time.Now())}
-	for name := range s.departing {
-		b.Departing = append(b.Departing, name)
+	return Beat{From: s.view.Self, News: s.view.News(time.Now()), Departing: s.departures()}
+}
+
+// departures returns the leaving upstreams by name. The lock is held.
+func (s *Service) departures() []Departing {
+	var list []Departing
+	now := time.Now()
+	for name, t := range s.departing {
+		list = append(list, Departing{Name: name, Age: now.Sub(t)})
 	}
-	sort.Strings(b.Departing)
-	if len(b.Departing) > maxDeparting {
-		b.Departing = b.Departing[:maxDeparting]
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	if len(list) > maxDeparting {
+		list = list[:maxDeparting]
 	}
-	return b
+	return list
 }
 
 func (s *Service) merge(b Beat) {
@@ -230,11 +255,8 @@
 	for _, m := range b.News {
 		changed = s.view.Merge(now, m) || changed
 	}
-	for _, name := range b.Departing {
-		if _, known := s.departing[name]; !known {
-			s.departing[name] = now
-			changed = true
-		}
+	for _, d := range b.Departing {
+		changed = s.depart(d.Name, now.Add(-d.Age)) || changed
 	}
 	s.mu.Unlock()
 	if b.From.Revision > s.Revision() {
@@ -284,7 +306,7 @@
 	if address == s.Peers.Address {
 		return
 	}
-	s.beat(ctx, address)
+	_ = s.beat(ctx, address)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var all []member.Member
@@ -311,21 +333,19 @@
 }
 
 func (s *Service) readList(ctx context.Context) {
+	changed := s.expireDeparting()
 	list, err := s.Platform.Instances(ctx)
 	if err != nil {
-		s.expireDeparting()
-		return
+		list = nil
 	}
-	changed := false
 	for _, l := range list {
 		if l.Role == "upstream" && l.State == "leaving" {
-			changed = s.depart(l.Name) || changed
+			changed = s.listed(l.Name) || changed
 		}
 		if l.Role == "instance" && !s.knows(l) {
 			s.learn(ctx, l.Peer)
 		}
 	}
-	s.expireDeparting()
 	if changed {
 		s.notify()
 	}
@@ -341,21 +361,34 @@
 	return ok && m.State != member.Gone
 }
 
-func (s *Service) depart(name string) bool {
+func (s *Service) listed(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, known := s.departing[name]
-	s.departing[name] = time.Now()
+	return s.depart(name, time.Now())
+}
+
+// depart remembers that an upstream was listed as leaving at a time. It
+// reports whether that is new. The lock is held.
+func (s *Service) depart(name string, at time.Time) bool {
+	if time.Since(at) > departingMemory {
+		return false
+	}
+	old, known := s.departing[name]
+	if !known || at.After(old) {
+		s.departing[name] = at
+	}
 	return !known
 }
 
-func (s *Service) expireDeparting() {
-	now := time.Now()
+func (s *Service) expireDeparting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changed := false
 	for name, t := range s.departing {
-		if now.Sub(t) > departingMemory {
+		if time.Since(t) > departingMemory {
 			delete(s.departing, name)
+			changed = true
 		}
 	}
+	return changed
 }
--- a/member/member.go
+++ b/member/member.go
@@ -86,6 +86,7 @@
 	Member
 	heard   time.Time // heard is when a higher beat came.
 	changed time.Time // changed is when the state or incarnation changed.
+	absent  bool      // absent tells that the instance is known not to run.
 }
 
 // View is one instance's knowledge of all others.
@@ -133,6 +134,7 @@
 		k.heard = now
 	}
 	k.Member = m
+	k.absent = m.State == Gone
 	if changed {
 		k.changed = now
 	}
@@ -181,12 +183,19 @@
 	}
 }
 
-// Silence returns how long nothing was heard of any other instance that is
-// not leaving or gone, and false if there is none such.
+// Absent notes that an instance is known not to run.
+func (v *View) Absent(name string) {
+	if k := v.members[name]; k != nil {
+		k.absent = true
+	}
+}
+
+// Silence returns how long nothing was heard of any other instance, and false
+// if none is known that may be running.
 func (v *View) Silence(now time.Time) (time.Duration, bool) {
 	var latest time.Time
 	for _, k := range v.members {
-		if k.State <= Suspect && k.heard.After(latest) {
+		if !k.absent && k.heard.After(latest) {
 			latest = k.heard
 		}
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -7,7 +7,9 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,7 +131,7 @@
 	// The lock keeps Hello from being handled before the session is complete.
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(s))
+	s.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(s), jsonrpc2.SetLogger(rpcLog{n.Log}))
 	n.track(s)
 	return s.conn
 }
@@ -231,6 +233,16 @@
 	}
 }
 
+// rpcLog passes the library's remarks on closed connections to the log.
+type rpcLog struct {
+	log logrus.FieldLogger
+}
+
+// Printf logs one remark.
+func (l rpcLog) Printf(format string, args ...any) {
+	l.log.WithField("Detail", strings.TrimSpace(fmt.Sprintf(format, args...))).Debug("peer connection")
+}
+
 // session is one connection and whether its other end is trusted.
 type session struct {
 	node   *Node
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -76,6 +76,21 @@
 	return fmt.Sprintf("w%d-%x ", i, (s.seed+uint64(i)*2654435761)%4096)
 }
 
+func (s *stream) text() string {
+	var b strings.Builder
+	for i := range s.length {
+		b.WriteString(s.word(i))
+	}
+	return b.String()
+}
+
+// Text returns the text that an engine generates for a request body.
+func Text(body []byte) string {
+	seed := xxhash.Sum64(body)
+	s := &stream{seed: seed, length: length(seed, body)}
+	return s.text()
+}
+
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64<<20))
 	if err != nil {
@@ -216,13 +231,9 @@
 	if e.cancelled(s) || f.DropAfter > 0 || f.DropEnd {
 		panic(http.ErrAbortHandler)
 	}
-	var text strings.Builder
-	for i := range s.length {
-		text.WriteString(s.word(i))
-	}
 	writeJSON(w, json.RawMessage(fmt.Sprintf(
 		`{"id":"chatcmpl-%s","object":"chat.completion","model":"standin","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`,
-		s.id, text.String(), s.prompt, s.length, s.prompt+s.length)))
+		s.id, s.text(), s.prompt, s.length, s.prompt+s.length)))
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
