Prove kills, freezes and stops with real processes; wait for goroutines

Found and mended: - The last instance to stop refused its queue ("no owner of shard planner/Nairobi/0 answers", 6 of 6 requests): leaving instances owned nothing. Ruled out: the drain (it had waited for all six). Leaving members now own shards while no live one is left. - The race detector found WaitGroup.Add running beside Wait in four services when one closed under load. Ruled out: a data race in the services' own state. Package background now starts and awaits all goroutines, and the caller's server waits for its handlers.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/claimstore"
 	"knapweedwell/config"
 	"knapweedwell/dispatch"
@@ -66,6 +67,7 @@
 	server   *http.Server
 	ended    chan struct{}
 	leaving  atomic.Bool
+	handlers background.Group
 	accepted atomic.Int64
 	answered atomic.Int64
 }
@@ -120,6 +122,7 @@
 func (s *Server) Close() error {
 	err := s.server.Close()
 	<-s.ended
+	s.handlers.Close()
 	return err
 }
 
@@ -230,6 +233,12 @@
 
 // serve reads, checks and dispatches one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, read reader) {
+	end, ok := s.handlers.Begin()
+	if !ok {
+		writeFailure(w, request.Unavailable("this instance has stopped"))
+		return
+	}
+	defer end()
 	s.accepted.Add(1)
 	defer s.answered.Add(1)
 	snap, o, f := s.identify(r)
--- a/claimstore/desk.go
+++ b/claimstore/desk.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/claim"
 	"knapweedwell/heartbeat"
 	"knapweedwell/kernel"
@@ -40,16 +41,14 @@
 	table     *claim.Table
 	adopted   map[string]*claim.Table // adopted holds predecessors' tables by identity.
 	successor string                  // successor is the peer address that took the table over.
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	clock     background.Group        // clock expires old records.
+	settling  background.Group        // settling saves outcomes.
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
 func (d *Desk) Prepare() {
 	d.table = claim.NewTable(d.Identity, time.Now())
 	d.adopted = map[string]*claim.Table{}
-	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.Peers.Handle(takeMethod, d.serveTake)
 	d.Peers.Handle(finishMethod, d.serveFinish)
 	d.Peers.Handle(releaseMethod, d.serveRelease)
@@ -58,34 +57,19 @@
 
 // Run starts to expire old records.
 func (d *Desk) Run(*kernel.Kernel) error {
-	d.done.Add(1)
-	go d.expireLoop()
+	d.clock.Every(expirePeriod, d.expire)
 	return nil
 }
 
 // Close waits for the outcomes that are still being saved, up to their own
 // limit.
 func (d *Desk) Close() error {
-	d.cancel()
-	d.done.Wait()
+	d.clock.Close()
+	d.settling.Finish()
 	return nil
 }
 
-func (d *Desk) expireLoop() {
-	defer d.done.Done()
-	ticker := time.NewTicker(expirePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-d.ctx.Done():
-			return
-		case now := <-ticker.C:
-			d.expire(now)
-		}
-	}
-}
-
-func (d *Desk) expire(now time.Time) {
+func (d *Desk) expire(_ context.Context, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Expire(now)
@@ -208,16 +192,14 @@
 }
 
 func (d *Desk) background(limit time.Duration, f func(context.Context) error) {
-	d.done.Add(1)
-	go func() {
-		defer d.done.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
+	d.settling.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		_, err := backoff.Retry(ctx, func() (bool, error) { return true, f(ctx) }, backoff.WithMaxElapsedTime(limit))
 		if err != nil {
 			d.Log.WithField("Error", err.Error()).Warn("a claim was not settled")
 		}
-	}()
+	})
 }
 
 func (d *Desk) finishOnce(ctx context.Context, c claim.Claim, o claim.Outcome) error {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -22,7 +22,7 @@
 	}
 	if !r.req.Idempotent {
 		var stop context.CancelFunc
-		ctx, stop = detach(ctx)
+		ctx, stop = r.s.detach(ctx)
 		defer stop()
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -36,14 +36,20 @@
 	return res
 }
 
-// detach returns a context that outlives the caller but not the deadline: a
-// request that must not be repeated is not cut off because its caller left.
-func detach(ctx context.Context) (context.Context, context.CancelFunc) {
-	detached := context.WithoutCancel(ctx)
-	if deadline, ok := ctx.Deadline(); ok {
-		return context.WithDeadline(detached, deadline)
+// detach returns a context that outlives the caller but neither the deadline
+// nor this service: a request that must not be repeated is not cut off because
+// its caller left.
+func (s *Service) detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(detachedTimeout)
+	}
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	stop := context.AfterFunc(s.group.Context(), cancel)
+	return detached, func() {
+		stop()
+		cancel()
 	}
-	return context.WithCancel(detached)
 }
 
 // stale tells why a grant must not be used any more, or nothing.
@@ -85,13 +91,11 @@
 	if r.req.Kind != request.Chat {
 		return
 	}
-	r.s.done.Add(1)
-	go func() {
-		defer r.s.done.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	r.s.group.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 		defer cancel()
 		_ = r.s.Upstreams.Cancel(ctx, g.address, g.streamID)
-	}()
+	})
 }
 
 // send sends the request and relays the answer.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,12 +7,12 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/claim"
 	"knapweedwell/claimstore"
 	"knapweedwell/invariant"
@@ -28,16 +28,17 @@
 )
 
 const (
-	grantAge      = time.Second // grantAge is the age up to which an unused grant is used.
-	maxAttempts   = 6           // maxAttempts bounds the upstreams tried for one request.
-	maxMoves      = 40          // maxMoves bounds the owners asked for one grant.
-	movePause     = 150 * time.Millisecond
-	maxResumes    = 3
-	resumePause   = 100 * time.Millisecond
-	cancelTimeout = time.Second
-	busyPause     = 200 * time.Millisecond
-	ownerPeriod   = 250 * time.Millisecond // ownerPeriod is the time between looks at who owns the shard of a pending ask.
-	defaultToken  = 256                    // defaultToken is the expected answer length without any knowledge.
+	grantAge        = time.Second // grantAge is the age up to which an unused grant is used.
+	maxAttempts     = 6           // maxAttempts bounds the upstreams tried for one request.
+	maxMoves        = 40          // maxMoves bounds the owners asked for one grant.
+	movePause       = 150 * time.Millisecond
+	maxResumes      = 3
+	resumePause     = 100 * time.Millisecond
+	cancelTimeout   = time.Second
+	detachedTimeout = 5 * time.Minute // detachedTimeout bounds a request without a deadline whose caller left.
+	busyPause       = 200 * time.Millisecond
+	ownerPeriod     = 250 * time.Millisecond // ownerPeriod is the time between looks at who owns the shard of a pending ask.
+	defaultToken    = 256                    // defaultToken is the expected answer length without any knowledge.
 )
 
 // Sink takes the answer of one request to its caller. Whole is called at most
@@ -77,8 +78,7 @@
 	admission admission
 	lengths   lengths
 	budget    budget
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	group     background.Group
 }
 
 // Prepare sets up the table of grants. It is called before Run.
@@ -89,39 +89,26 @@
 
 // Run starts the reports of grants in use.
 func (s *Service) Run(*kernel.Kernel) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go s.refreshLoop(ctx)
+	s.group.Every(refreshPeriod, func(context.Context, time.Time) { s.table.refresh() })
 	return nil
 }
 
 // Close stops the reports.
 func (s *Service) Close() error {
-	s.cancel()
-	s.done.Wait()
+	s.group.Close()
 	return nil
 }
 
+// Abort ends the requests that outlive their callers.
+func (s *Service) Abort() {
+	s.group.Abort()
+}
+
 // Running returns the number of grants in use.
 func (s *Service) Running() int {
 	return s.table.len()
 }
 
-func (s *Service) refreshLoop(ctx context.Context) {
-	defer s.done.Done()
-	ticker := time.NewTicker(refreshPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.table.refresh()
-		}
-	}
-}
-
 func (s *Service) preempted(id string) {
 	if g := s.table.get(id); g != nil && g.preempt() {
 		s.Journal.Note(g.req.ID, "preempted on %s for a higher tier after %d tokens", g.upstream, g.count())
@@ -485,14 +472,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.done.Add(1)
-	go s.giveUp(ctx, cancel, shard, first)
+	s.group.Go(func(context.Context) { s.giveUp(ctx, cancel, shard, first) })
 	return s.Owners.Ask(ctx, shard, a, insist)
 }
 
 // giveUp cancels an ask once the shard has another owner than the first.
 func (s *Service) giveUp(ctx context.Context, cancel context.CancelFunc, shard, first string) {
-	defer s.done.Done()
 	ticker := time.NewTicker(ownerPeriod)
 	defer ticker.Stop()
 	for {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/kernel"
 	"knapweedwell/member"
 	"knapweedwell/peer"
@@ -59,9 +60,9 @@
 	mu        sync.Mutex
 	view      *member.View
 	departing map[string]time.Time
+	last      time.Time // last is when the last round began.
 	listeners []func()
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	group     background.Group
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
@@ -81,19 +82,16 @@
 
 // Run starts the exchange of heartbeats.
 func (s *Service) Run(*kernel.Kernel) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
 	s.With(func(v *member.View) { v.Self.Peer = s.Peers.Address })
-	s.done.Add(2)
-	go s.beatLoop(ctx)
-	go s.listLoop(ctx)
+	s.last = time.Now()
+	s.group.Every(period, s.round)
+	s.group.Go(s.listLoop)
 	return nil
 }
 
 // Close stops the exchange.
 func (s *Service) Close() error {
-	s.cancel()
-	s.done.Wait()
+	s.group.Close()
 	return nil
 }
 
@@ -136,26 +134,12 @@
 	s.notify()
 }
 
-func (s *Service) beatLoop(ctx context.Context) {
-	defer s.done.Done()
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	last := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.round(ctx, now.Sub(last) > member.SuspectAfter)
-			last = now
-		}
-	}
-}
-
 // round sends one heartbeat to each neighbour. After a freeze of this process
 // nobody is judged by the silence of the past.
-func (s *Service) round(ctx context.Context, frozen bool) {
+func (s *Service) round(ctx context.Context, _ time.Time) {
 	now := time.Now()
+	frozen := now.Sub(s.last) > member.SuspectAfter
+	s.last = now
 	s.mu.Lock()
 	if frozen {
 		s.view.Forgive(now)
@@ -165,11 +149,7 @@
 	neighbors := s.view.Neighbors()
 	s.mu.Unlock()
 	s.report(changed)
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.beatAll(ctx, neighbors)
-	}()
+	s.group.Go(func(context.Context) { s.beatAll(ctx, neighbors) })
 }
 
 func (s *Service) report(changed []member.Member) {
@@ -319,7 +299,6 @@
 // listLoop reads the platform's instance list. In a large fleet the reads are
 // spread out, and what one instance read comes to the others by heartbeat.
 func (s *Service) listLoop(ctx context.Context) {
-	defer s.done.Done()
 	for {
 		s.join(ctx)
 		s.readList(ctx)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -273,6 +273,7 @@
 
 // Close ends all services at once. Requests under way are cut off.
 func (i *Instance) Close() error {
+	i.Dispatch.Abort()
 	err := i.kernel.Close()
 	_ = i.upstreams.Close()
 	_ = i.Platform.Close()
--- a/member/member.go
+++ b/member/member.go
@@ -303,12 +303,26 @@
 }
 
 // Owner returns the owner of a shard: by rendezvous hashing over the live
-// members in the shard's region, or over all live ones if it has none. Members
-// named in not are left out.
-func (v *View) Owner(shard, region string, not map[string]bool) (Member, bool) {
-	var near, all []string
-	for _, m := range v.Live() {
-		if not[m.Name] {
+// members in the shard's region, or over all live ones if it has none. Leaving
+// members own shards only while there is no live one.
+func (v *View) Owner(shard, region string) (Member, bool) {
+	for _, state := range []State{Live, Leaving} {
+		near, all := v.names(state, region)
+		if len(near) == 0 {
+			near = all
+		}
+		if len(near) > 0 {
+			return v.Get(rendezvous.New(near, xxhash.Sum64String).Lookup(shard))
+		}
+	}
+	return Member{}, false
+}
+
+// names returns the names of the members in a state: those of the region, and
+// all.
+func (v *View) names(state State, region string) (near, all []string) {
+	for _, m := range v.All() {
+		if m.State != state {
 			continue
 		}
 		all = append(all, m.Name)
@@ -316,11 +330,5 @@
 			near = append(near, m.Name)
 		}
 	}
-	if len(near) == 0 {
-		near = all
-	}
-	if len(near) == 0 {
-		return Member{}, false
-	}
-	return v.Get(rendezvous.New(near, xxhash.Sum64String).Lookup(shard))
+	return near, all
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/heartbeat"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
@@ -50,9 +51,7 @@
 
 	mu     sync.Mutex
 	shards map[string]*owned
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	group  background.Group
 }
 
 // owned is one shard with the channels of its waiting asks.
@@ -65,7 +64,6 @@
 // Prepare registers the handlers. It is called before the peer node runs.
 func (s *Service) Prepare() {
 	s.shards = map[string]*owned{}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.Peers.Handle(askMethod, s.serveAsk)
 	s.Peers.Handle(withdrawMethod, s.serveWithdraw)
 	s.Peers.Handle(finishMethod, s.serveFinish)
@@ -77,16 +75,14 @@
 
 // Run starts the shards' clocks.
 func (s *Service) Run(*kernel.Kernel) error {
-	s.done.Add(2)
-	go s.every(tickPeriod, s.tick)
-	go s.every(loadPeriod, s.readLoads)
+	s.group.Every(tickPeriod, s.tick)
+	s.group.Every(loadPeriod, s.readLoads)
 	return nil
 }
 
 // Close stops deciding and answers all waiting asks with Moved.
 func (s *Service) Close() error {
-	s.cancel()
-	s.done.Wait()
+	s.group.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.shards {
@@ -95,20 +91,6 @@
 	return nil
 }
 
-func (s *Service) every(period time.Duration, f func()) {
-	defer s.done.Done()
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
 // Owner returns the owner of a shard in this instance's view.
 func (s *Service) Owner(shard string) (member.Member, bool) {
 	region := s.Region
@@ -122,7 +104,7 @@
 			m, ok = v.Self, true
 			return
 		}
-		m, ok = v.Owner(shard, region, nil)
+		m, ok = v.Owner(shard, region)
 	})
 	return m, ok
 }
@@ -132,7 +114,7 @@
 // those that moved are told so.
 func (s *Service) review() {
 	snap := s.Keeper.Current()
-	if snap == nil || s.ctx.Err() != nil {
+	if snap == nil || s.group.Context().Err() != nil {
 		return
 	}
 	departing := s.Beats.Departing()
@@ -216,7 +198,7 @@
 
 func (s *Service) sendPreempt(g pool.Grant) {
 	if g.Holder == s.Self {
-		go s.Preempted(g.ID)
+		s.group.Go(func(context.Context) { s.Preempted(g.ID) })
 		return
 	}
 	s.toMember(g.Holder, preemptMethod, wireID{ID: g.ID})
@@ -230,16 +212,14 @@
 }
 
 func (s *Service) notify(address, method string, params any) {
-	if address == "" || s.ctx.Err() != nil {
+	if address == "" {
 		return
 	}
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+	s.group.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
 		_ = s.Peers.Notify(ctx, address, method, params)
-	}()
+	})
 }
 
 // decide enters an ask here and waits for the reply. If the context ends
@@ -304,7 +284,7 @@
 	s.carry(o, o.Refresh(now, helds))
 }
 
-func (s *Service) tick() {
+func (s *Service) tick(context.Context, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -314,7 +294,7 @@
 }
 
 // readLoads reads the load reports of the upstreams of all shards owned here.
-func (s *Service) readLoads() {
+func (s *Service) readLoads(context.Context, time.Time) {
 	snap := s.Keeper.Current()
 	if snap == nil {
 		return
@@ -338,10 +318,8 @@
 }
 
 func (s *Service) readLoad(shard, name, address string) {
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		l, err := s.Upstreams.Load(s.ctx, address)
+	s.group.Go(func(ctx context.Context) {
+		l, err := s.Upstreams.Load(ctx, address)
 		if err != nil {
 			return
 		}
@@ -350,7 +328,7 @@
 		if o := s.shards[shard]; o != nil {
 			s.carry(o, o.Load(time.Now(), name, l.Running, l.Draining))
 		}
-	}()
+	})
 }
 
 // Views returns the state of all shards that are in use here.
--- /dev/null
+++ b/pool/random_test.go
@@ -0,0 +1,228 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"knapweedwell/invariant"
+)
+
+func classes() []Class {
+	second := time.Second
+	return []Class{
+		{Name: "top", Rank: 1, Preempts: true, Weight: 1, Floor: 0.01, Target: second, QueueTimeout: 30 * second},
+		{Name: "mid-a", Rank: 2, Preempts: true, Weight: 2, Floor: 0.01, Target: 3 * second, QueueTimeout: 30 * second},
+		{Name: "mid-b", Rank: 2, Weight: 1, Floor: 0.05, Target: 3 * second, QueueTimeout: 30 * second},
+		{Name: "low", Rank: 3, Weight: 1, Floor: 0.02, Target: 20 * second, QueueTimeout: 60 * second},
+	}
+}
+
+func newShard(policy Policy, check *invariant.Checker, upstreams, concurrency, queue int) (*Shard, time.Time) {
+	now := time.Unix(1000, 0)
+	s := New("test", policy, check, now)
+	set := Settings{Revision: 1, Classes: classes(), QueueLimit: queue, Organisations: map[string]float64{"A": 1, "B": 4}}
+	for i := range upstreams {
+		set.Upstreams = append(set.Upstreams, UpstreamSettings{Name: fmt.Sprintf("u%d", i), Address: "x", Zone: "z", Concurrency: concurrency})
+	}
+	now = now.Add(2 * TakeoverWait)
+	s.ticked = now
+	s.Configure(now, set)
+	return s, now
+}
+
+// model is the world around a shard: it runs what is granted.
+type model struct {
+	s       *Shard
+	now     time.Time
+	n       int
+	running map[string]Grant
+	waiting map[string]Ask
+	served  map[string]int
+	shed    map[string]int
+}
+
+func newModel(s *Shard, now time.Time) *model {
+	return &model{s: s, now: now, running: map[string]Grant{}, waiting: map[string]Ask{}, served: map[string]int{}, shed: map[string]int{}}
+}
+
+func (m *model) take(ds []Decision) error {
+	for _, d := range ds {
+		switch d := d.(type) {
+		case Granted:
+			if _, twice := m.running[d.Grant.ID]; twice {
+				return fmt.Errorf("%s granted twice", d.Grant.ID)
+			}
+			delete(m.waiting, d.Grant.ID)
+			m.running[d.Grant.ID] = d.Grant
+			m.served[d.Grant.Class]++
+		case Shed:
+			if err := m.checkShed(d); err != nil {
+				return err
+			}
+			delete(m.waiting, d.Ask.ID)
+			m.shed[d.Ask.Class]++
+		case Preempt:
+			if err := m.preempt(d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// checkShed checks from outside that no request of a lower tier waits while
+// one is shed for lack of a place.
+func (m *model) checkShed(d Shed) error {
+	if d.Reason == Waited || d.Reason == NoUpstream {
+		return nil
+	}
+	for _, a := range m.waiting {
+		if a.ID != d.Ask.ID && a.Rank > d.Ask.Rank && m.s.asks[a.ID] != nil {
+			return fmt.Errorf("rank %d shed while rank %d waits", d.Ask.Rank, a.Rank)
+		}
+	}
+	return nil
+}
+
+func (m *model) preempt(d Preempt) error {
+	a, ok := m.waiting[d.For]
+	if ok && a.Rank >= d.Grant.Rank {
+		return fmt.Errorf("rank %d preempted for rank %d", d.Grant.Rank, a.Rank)
+	}
+	delete(m.running, d.Grant.ID)
+	return m.take(m.s.Finish(m.now, Report{Grant: d.Grant.ID, Finished: true}))
+}
+
+func (m *model) ask(c Class, org string) error {
+	m.n++
+	a := Ask{
+		ID: fmt.Sprintf("%08d", m.n), Holder: "h", Class: c.Name, Organisation: org, Rank: c.Rank, Restartable: m.n%3 > 0,
+		Cost: float64(1 + m.n%200), Arrived: m.now, Expires: m.now.Add(c.QueueTimeout),
+	}
+	m.waiting[a.ID] = a
+	return m.take(m.s.Ask(m.now, a))
+}
+
+func (m *model) finish(id string) error {
+	delete(m.running, id)
+	return m.take(m.s.Finish(m.now, Report{Grant: id, Finished: true}))
+}
+
+// TestRandomDecisions drives a shard with random calls and checks each
+// decision from outside, besides the invariants inside.
+func TestRandomDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		check := &invariant.Checker{Panic: true}
+		s, now := newShard(Tiered, check, rapid.IntRange(1, 4).Draw(t, "upstreams"), rapid.IntRange(1, 4).Draw(t, "concurrency"), rapid.IntRange(1, 12).Draw(t, "queue"))
+		m := newModel(s, now)
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+			if err := step(t, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func step(t *rapid.T, m *model) error {
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	case 0, 1, 2, 3:
+		cs := classes()
+		return m.ask(cs[rapid.IntRange(0, len(cs)-1).Draw(t, "class")], rapid.SampledFrom([]string{"A", "B"}).Draw(t, "org"))
+	case 4, 5, 6:
+		for id := range m.running {
+			return m.finish(id)
+		}
+	case 7:
+		return m.take(m.s.Tick(m.now))
+	case 8:
+		for id := range m.waiting {
+			delete(m.waiting, id)
+			return m.take(m.s.Withdraw(m.now, id))
+		}
+	case 9:
+		name := m.s.names[rapid.IntRange(0, len(m.s.names)-1).Draw(t, "upstream")]
+		return m.take(m.s.Load(m.now, name, rapid.IntRange(0, 6).Draw(t, "load"), rapid.IntRange(0, 9).Draw(t, "draining") == 0))
+	}
+	return nil
+}
+
+// TestLowestClassUnderOverload offers three times the capacity in the top tier
+// for two days: the lowest class is served in every minute.
+func TestLowestClassUnderOverload(t *testing.T) {
+	for _, queue := range []int{1, 20} {
+		t.Run(fmt.Sprintf("queue=%d", queue), func(t *testing.T) {
+			check := &invariant.Checker{Panic: true}
+			s, now := newShard(Tiered, check, 1, 2, queue)
+			m := newModel(s, now)
+			cs := classes()
+			ends := map[string]time.Time{}
+			const step, work = 500 * time.Millisecond, 2 * time.Second
+			rnd := rand.New(rand.NewPCG(1, 1))
+			for minute := range 2 * 24 * 60 {
+				before := m.served["low"]
+				for range int(time.Minute / step) {
+					m.now = m.now.Add(step)
+					for id := range m.running {
+						if ends[id].IsZero() {
+							ends[id] = m.now.Add(work)
+						}
+						if !m.now.Before(ends[id]) {
+							delete(ends, id)
+							assert.NilError(t, m.finish(id))
+						}
+					}
+					for range 1 + rnd.IntN(2) {
+						assert.NilError(t, m.ask(cs[0], "A"))
+					}
+					if rnd.IntN(2) == 0 {
+						assert.NilError(t, m.ask(cs[3], "A"))
+					}
+					assert.NilError(t, m.take(s.Tick(m.now)))
+				}
+				if m.served["low"] == before {
+					t.Fatalf("minute %d: the lowest class was not served", minute)
+				}
+			}
+			t.Log(m.served, m.shed, check.Counts())
+			share := float64(m.served["low"]) / float64(m.served["low"]+m.served["top"])
+			assert.Assert(t, share <= 0.021, "the floor of 0.02 was exceeded: %f", share)
+		})
+	}
+}
+
+// BenchmarkDecision times one ask and one grant with a number of requests
+// queued.
+func BenchmarkDecision(b *testing.B) {
+	for _, queued := range []int{1, 100, 10000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			s, now := newShard(Tiered, &invariant.Checker{}, 20, 8, 1000000)
+			m := newModel(s, now)
+			cs := classes()
+			for i := range 20*8 + queued {
+				_ = m.ask(cs[i%4], fmt.Sprintf("org-%d", i%490))
+			}
+			ids := make([]string, 0, len(m.running))
+			for id := range m.running {
+				ids = append(ids, id)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				id := ids[i%len(ids)]
+				m.n++
+				c := cs[i%4]
+				s.Ask(now, Ask{ID: fmt.Sprint("b", i), Class: c.Name, Rank: c.Rank, Organisation: fmt.Sprintf("org-%d", i%490), Arrived: now, Expires: now.Add(time.Hour)})
+				for _, d := range s.Finish(now, Report{Grant: id, Finished: true}) {
+					if g, ok := d.(Granted); ok {
+						ids[i%len(ids)] = g.Grant.ID
+					}
+				}
+			}
+		})
+	}
+}
--- a/revision/keeper.go
+++ b/revision/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/config"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
@@ -61,9 +62,7 @@
 	listeners []func(*Snapshot)
 	contact   time.Time // contact is the last answer of the platform.
 	fetching  map[string]bool
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	group     background.Group
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
@@ -81,18 +80,15 @@
 
 // Run starts to follow the platform.
 func (k *Keeper) Run(*kernel.Kernel) error {
-	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.touch()
-	k.done.Add(2)
-	go k.watchLoop()
-	go k.contactLoop()
+	k.group.Go(k.watchLoop)
+	k.group.Every(contactPeriod, k.keepContact)
 	return nil
 }
 
 // Close stops following the platform.
 func (k *Keeper) Close() error {
-	k.cancel()
-	k.done.Wait()
+	k.group.Close()
 	return nil
 }
 
@@ -127,30 +123,29 @@
 	k.contact = time.Now()
 }
 
-func (k *Keeper) watchLoop() {
-	defer k.done.Done()
+func (k *Keeper) watchLoop(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstBackoff
 	pause.MaxInterval = longBackoff
-	for k.ctx.Err() == nil {
-		err := k.watchOnce()
+	for ctx.Err() == nil {
+		err := k.watchOnce(ctx)
 		if err == nil {
 			pause.Reset()
 			continue
 		}
 		select {
-		case <-k.ctx.Done():
+		case <-ctx.Done():
 		case <-time.After(pause.NextBackOff()):
 		}
 	}
 }
 
-func (k *Keeper) watchOnce() error {
+func (k *Keeper) watchOnce(ctx context.Context) error {
 	wait := watchWait
 	if k.Revision() == 0 {
 		wait = 0
 	}
-	o, err := k.Platform.Watch(k.ctx, objectKind, objectName, k.Revision(), wait)
+	o, err := k.Platform.Watch(ctx, objectKind, objectName, k.Revision(), wait)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
@@ -164,25 +159,13 @@
 	return nil
 }
 
-// contactLoop asks the platform for a sign of life while all peers are silent.
-func (k *Keeper) contactLoop() {
-	defer k.done.Done()
-	ticker := time.NewTicker(contactPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-k.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if silence, known := k.Silence(); known && silence > contactLimit/2 {
-			k.readOnce()
-		}
+// keepContact asks the platform for a sign of life while all peers are silent.
+func (k *Keeper) keepContact(ctx context.Context, _ time.Time) {
+	silence, known := k.Silence()
+	if !known || silence <= contactLimit/2 {
+		return
 	}
-}
-
-func (k *Keeper) readOnce() {
-	o, err := k.Platform.Get(k.ctx, objectKind, objectName)
+	o, err := k.Platform.Get(ctx, objectKind, objectName)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return
 	}
@@ -247,12 +230,11 @@
 func (k *Keeper) Ahead(address string, revision int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if revision <= k.Revision() || k.fetching[address] || k.ctx == nil || k.ctx.Err() != nil {
+	if revision <= k.Revision() || k.fetching[address] {
 		return
 	}
 	k.fetching[address] = true
-	k.done.Add(1)
-	go k.fetch(address)
+	k.group.Go(func(ctx context.Context) { k.fetch(ctx, address) })
 }
 
 // fetched is a peer's answer to a fetch.
@@ -261,14 +243,13 @@
 	Record   *record
 }
 
-func (k *Keeper) fetch(address string) {
-	defer k.done.Done()
+func (k *Keeper) fetch(ctx context.Context, address string) {
 	defer func() {
 		k.mu.Lock()
 		delete(k.fetching, address)
 		k.mu.Unlock()
 	}()
-	ctx, cancel := context.WithTimeout(k.ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var f fetched
 	if err := k.Peers.Call(ctx, address, fetchMethod, nil, &f); err != nil || f.Record == nil {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -67,6 +67,8 @@
 			"background": background,
 			"answers":    answers,
 			"record":     record,
+			"ticket":     ticket,
+			"race":       race,
 		},
 	})
 }
@@ -287,12 +289,50 @@
 	ts.Check(f.Close())
 }
 
+// ticket VARIABLE URL asks for addresses and keeps the ticket in a variable.
+func ticket(ts *testscript.TestScript, _ bool, args []string) {
+	m := ticketPattern.FindString(exchange([]string{http.MethodGet, args[1]}))
+	if m == "" {
+		ts.Fatalf("no ticket from %s", args[1])
+	}
+	ts.Setenv(args[0], m)
+}
+
+var ticketPattern = regexp.MustCompile(`kw1\.[^"\s]+`)
+
+// race ADDRESS FILE ADDRESS FILE applies two files to the same revision at once
+// and expects that exactly one is accepted.
+func race(ts *testscript.TestScript, _ bool, args []string) {
+	out, err := exec.Command(filepath.Join(programs, "knapweedwell"), "get", "-address", args[0]).Output()
+	ts.Check(err)
+	var base string
+	_, err = fmt.Sscanf(string(out), "# revision %s", &base)
+	ts.Check(err)
+	codes := make([]int, 2)
+	var wait sync.WaitGroup
+	for i := range 2 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			cmd := exec.Command(filepath.Join(programs, "knapweedwell"), "apply", "-base", base, "-address", args[2*i], args[2*i+1])
+			cmd.Dir = ts.MkAbs(".")
+			_ = cmd.Run()
+			codes[i] = cmd.ProcessState.ExitCode()
+		}()
+	}
+	wait.Wait()
+	const applied, conflict = 0, 3
+	if codes[0]+codes[1] != applied+conflict || codes[0]*codes[1] != 0 {
+		ts.Fatalf("two changes of one revision ended with exit codes %v", codes)
+	}
+}
+
 // normalizers replace what differs from run to run.
 var normalizers = []struct {
 	pattern *regexp.Regexp
 	with    string
 }{
-	{regexp.MustCompile(`kw1\.[^"\s]+`), "TICKET"},
+	{ticketPattern, "TICKET"},
 	{regexp.MustCompile(`(entry-\d)-[0-9a-f]{8}-[0-9a-f]{4}(\.\d+)?`), "$1-ID"},
 	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f-]{22}`), "UUID"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`), "TIME"},
--- a/world/cases_test.go
+++ b/world/cases_test.go
@@ -22,6 +22,7 @@
 // inWorld runs a case on a virtual clock.
 func inWorld(t *testing.T, o options, f func(w *world)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, o)
 		defer w.close()
@@ -46,7 +47,7 @@
 // shows as leaving gets no new work after a few seconds, and work again after
 // it came back.
 func TestListedAsLeaving(t *testing.T) {
-	const lag, fewSeconds = 2 * time.Second, 5 * time.Second
+	const lag, grace = 2 * time.Second, 5 * time.Second
 	inWorld(t, usual, func(w *world) {
 		w.begin()
 		load := func() {
@@ -63,7 +64,7 @@
 		e := w.engines["engine-1"]
 		w.platform.Set(platform.Faults{ListLag: lag})
 		w.platform.SetInstances([]platform.Listed{{Name: "engine-1", Role: "upstream", State: "leaving"}})
-		time.Sleep(lag + fewSeconds)
+		time.Sleep(lag + grace)
 		before := e.Stats().Runs
 		load()
 		if after := e.Stats().Runs; after != before {
--- a/world/random_test.go
+++ b/world/random_test.go
@@ -42,6 +42,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { random(t, seed, length) })
 		})
 	}
@@ -264,14 +265,14 @@
 // draining checks that an engine that reports that it drains gets no new work
 // after a few seconds.
 func (c *chaos) draining() {
-	const fewSeconds = 4 * time.Second
+	const grace = 4 * time.Second
 	e := c.world.engines[fmt.Sprintf("engine-%d", 1+c.pick(len(c.world.engines)))]
 	e.Set(engine.Faults{Draining: true})
-	time.Sleep(fewSeconds)
+	time.Sleep(grace)
 	before := e.Stats().AfterLeft
 	time.Sleep(c.between(1000, 6000))
 	if after := e.Stats().AfterLeft; after != before {
-		c.world.fail("engine %s got %d requests after it had been leaving for %s", e.Name, after-before, fewSeconds)
+		c.world.fail("engine %s got %d requests after it had been leaving for %s", e.Name, after-before, grace)
 	}
 	e.Set(engine.Faults{})
 }
--- a/world/world_test.go
+++ b/world/world_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"knapweedwell/config"
@@ -91,11 +90,9 @@
 	queueLimit int
 	shard      int // shard is the upstreams per shard.
 	batch      int
-	maxRequest int
 }
 
 func newWorld(t *testing.T, seed uint64, o options) *world {
-	uuid.SetRand(&source{rnd: rand.New(rand.NewPCG(seed, 99))})
 	w := &world{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), net: newFabric(),
 		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{},
@@ -120,21 +117,6 @@
 	return w
 }
 
-// source makes UUIDs follow from the seed.
-type source struct {
-	mu  sync.Mutex
-	rnd *rand.Rand
-}
-
-func (s *source) Read(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := range p {
-		p[i] = byte(s.rnd.Uint32())
-	}
-	return len(p), nil
-}
-
 func (w *world) fail(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -253,7 +235,6 @@
 	}
 	// Connections and resume windows end by themselves.
 	time.Sleep(5 * time.Minute)
-	uuid.SetRand(nil)
 }
 
 // operate returns a client of an instance's operator port.
