--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,84 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTable(t *testing.T) {
+	start := time.Unix(0, 0)
+	table := NewTable("entry-1@7", start)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	key := table.Issue(at(time.Minute))
+	first := Claim{Organisation: "A", Key: key, Nonce: "1", Holder: "entry-1@7", Digest: "d"}
+	second := Claim{Organisation: "A", Key: key, Nonce: "2", Holder: "entry-2@8", Digest: "d"}
+
+	assert.Equal(t, table.Take(at(2*time.Minute), first), Answer(Yours{}))
+	assert.Equal(t, table.Take(at(2*time.Minute), first), Answer(Yours{}), "a repeated take is the same")
+	assert.Equal(t, table.Take(at(2*time.Minute), second), Answer(Busy{Holder: "entry-1@7"}))
+	table.Release(second)
+	assert.Equal(t, table.Take(at(2*time.Minute), second), Answer(Busy{Holder: "entry-1@7"}), "only the holder releases")
+	table.Release(first)
+	assert.Equal(t, table.Take(at(2*time.Minute), second), Answer(Yours{}))
+	table.Finish(second, Outcome{Status: 200})
+	assert.DeepEqual(t, table.Take(at(time.Hour), first), Answer(Done{Outcome: Outcome{Status: 200}}))
+	other := first
+	other.Digest = "e"
+	assert.Equal(t, table.Take(at(3*time.Minute), other), Answer(Mismatch{}))
+
+	table.Expire(at(2 * time.Hour))
+	assert.Equal(t, table.Len(), 0)
+	_, unsure := table.Take(at(2*time.Hour), first).(Unsure)
+	assert.Assert(t, unsure, "an expired ticket is never run")
+}
+
+// TestForeignTickets checks that a ticket from the future or of no incarnation
+// is never run.
+func TestForeignTickets(t *testing.T) {
+	start := time.Unix(0, 0)
+	table := NewTable("entry-1@7", start)
+	for _, key := range []string{
+		"x", "kw1.entry-1@7.9999999999.n", "kw1.entry-1@7.-5.n", "kw1.entry-1@7.x.n", "kw1.n",
+	} {
+		_, unsure := table.Take(start.Add(time.Minute), Claim{Key: key, Nonce: "1"}).(Unsure)
+		assert.Assert(t, unsure, key)
+	}
+}
+
+func TestHandover(t *testing.T) {
+	start := time.Unix(0, 0)
+	table := NewTable("entry-1@7", start)
+	used, unused := table.Issue(start), table.Issue(start)
+	c := Claim{Key: used, Nonce: "1"}
+	table.Take(start, c)
+	export := table.Seal(start.Add(time.Minute))
+	_, unsure := table.Take(start.Add(time.Minute), Claim{Key: unused, Nonce: "2"}).(Unsure)
+	assert.Assert(t, unsure, "a sealed table decides nothing")
+
+	// The successor's clock differs.
+	now := time.Unix(1e6, 0)
+	next := Import(now, export)
+	assert.Equal(t, next.Take(now, Claim{Key: used, Nonce: "2"}), Answer(Busy{}))
+	assert.Equal(t, next.Take(now, Claim{Key: unused, Nonce: "2"}), Answer(Yours{}))
+	late := Claim{Key: Ticket{Identity: "entry-1@7", Nonce: "late"}.String(), Nonce: "3"}
+	_, unsure = next.Take(now.Add(TicketLifetime), late).(Unsure)
+	assert.Assert(t, unsure, "the ticket's age counts on")
+}
+
+// FuzzTicket checks that what is read as a ticket is written the same.
+func FuzzTicket(f *testing.F) {
+	f.Add("kw1.entry-1@7.60000.nonce")
+	f.Add("kw1...")
+	f.Fuzz(func(t *testing.T, key string) {
+		ticket, ok := ParseTicket(key)
+		if !ok {
+			return
+		}
+		again, ok := ParseTicket(ticket.String())
+		if !ok || again != ticket {
+			t.Errorf("key %q was read as %+v and then as %+v", key, ticket, again)
+		}
+	})
+}
--- a/claim/table.go
+++ b/claim/table.go
@@ -19,6 +19,7 @@
 	// expired.
 	RecordLifetime = 30 * time.Minute
 	maxRecords     = 200000
+	maxAge         = 100 * 365 * 24 * time.Hour // maxAge bounds the age of an incarnation.
 )
 
 // Ticket is an idempotency key that names the incarnation that decides on it.
@@ -49,7 +50,7 @@
 		return Ticket{}, false
 	}
 	ms, err := strconv.ParseInt(rest[at+1:], 10, 64)
-	if err != nil || ms < 0 {
+	if err != nil || ms < 0 || ms > maxAge.Milliseconds() {
 		return Ticket{}, false
 	}
 	return Ticket{Identity: rest[:at], Issued: time.Duration(ms) * time.Millisecond, Nonce: nonce}, true
--- a/config/parse.go
+++ b/config/parse.go
@@ -91,7 +91,7 @@
 	r.Required("Rank", "a whole number, 1 for the highest tier")
 	p.c.Tiers[name] = &Tier{
 		Name:     name,
-		Rank:     r.Int("Rank", maxRank, 1, maxRank),
+		Rank:     r.Int("Rank", 0, 1, maxRank),
 		Preempts: r.Bool("Preempts", false),
 	}
 }
@@ -107,7 +107,7 @@
 		Weight:       r.Float("Weight", 1, 0.01, maxWeight),
 		QueueTimeout: r.Duration("QueueTimeout", defaultQueueTimeout, time.Millisecond),
 	}
-	if c.FirstToken == 0 && c.Whole == 0 {
+	if !r.Has("FirstToken") && !r.Has("Whole") {
 		r.Find("FirstToken", "missing; expected FirstToken or Whole as the class's target")
 	}
 	p.c.Classes[name] = c
@@ -160,8 +160,9 @@
 	model, service := r.Text("Model", ""), r.Text("Service", "")
 	if (model == "") == (service == "") {
 		r.Find("Model", "expected either Model or Service, and not both")
+	} else {
+		u.Target = model + service
 	}
-	u.Target = model + service
 	p.c.Upstreams[name] = u
 }
 
@@ -182,7 +183,7 @@
 	byRank := map[int]string{}
 	for _, name := range sortedKeys(p.c.Tiers) {
 		rank := p.c.Tiers[name].Rank
-		if other, taken := byRank[rank]; taken {
+		if other, taken := byRank[rank]; taken && rank > 0 {
 			p.find("Tier "+name, "Rank", "the same rank as tier %q; expected a rank of its own", other)
 		}
 		byRank[rank] = name
@@ -249,6 +250,9 @@
 	if _, ok := p.readers[header].Section.Keys["Service"]; ok {
 		key = "Service"
 	}
+	if u.Target == "" {
+		return
+	}
 	t := p.c.Targets[u.Target]
 	if t == nil || t.Service != (key == "Service") {
 		p.find(header, key, "no %s %q; expected one that is configured", key, u.Target)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,8 +37,7 @@
 	cancelTimeout   = time.Second
 	detachedTimeout = 5 * time.Minute // detachedTimeout bounds a request without a deadline whose caller left.
 	busyPause       = 200 * time.Millisecond
-	ownerPeriod     = 250 * time.Millisecond // ownerPeriod is the time between looks at who owns the shard of a pending ask.
-	defaultToken    = 256                    // defaultToken is the expected answer length without any knowledge.
+	defaultToken    = 256 // defaultToken is the expected answer length without any knowledge.
 )
 
 // Sink takes the answer of one request to its caller. Whole is called at most
@@ -401,7 +400,7 @@
 	asked := ""
 	for move := 0; move < maxMoves; move++ {
 		a := r.newAsk(snap)
-		reply, by, err := r.s.askOwner(ctx, shard, a, asked == r.s.ownerName(shard))
+		reply, by, err := r.s.Owners.Ask(ctx, shard, a, asked == r.s.ownerName(shard))
 		asked = by.Name
 		switch {
 		case err == nil && reply.Granted:
@@ -463,36 +462,6 @@
 	}
 }
 
-// askOwner asks for a grant. A pending ask to another instance is given up
-// once that one no longer owns the shard in this instance's view.
-func (s *Service) askOwner(ctx context.Context, shard string, a pool.Ask, insist bool) (owner.Reply, member.Member, error) {
-	first := s.ownerName(shard)
-	if first == s.Self {
-		return s.Owners.Ask(ctx, shard, a, insist)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.group.Go(func(context.Context) { s.giveUp(ctx, cancel, shard, first) })
-	return s.Owners.Ask(ctx, shard, a, insist)
-}
-
-// giveUp cancels an ask once the shard has another owner than the first.
-func (s *Service) giveUp(ctx context.Context, cancel context.CancelFunc, shard, first string) {
-	ticker := time.NewTicker(ownerPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if s.ownerName(shard) != first {
-			cancel()
-			return
-		}
-	}
-}
-
 func (r *run) newGrant(id, shard string, by member.Member, reply owner.Reply) *grant {
 	r.grants++
 	return &grant{
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -232,13 +232,23 @@
 	now := time.Now()
 	s.mu.Lock()
 	changed := s.view.Merge(now, b.From)
+	var silent []member.Member
 	for _, m := range b.News {
-		changed = s.view.Merge(now, m) || changed
+		if !s.view.Merge(now, m) {
+			continue
+		}
+		changed = true
+		if m.State == member.Suspect {
+			silent = append(silent, m)
+		}
 	}
 	for _, d := range b.Departing {
 		changed = s.depart(d.Name, now.Add(-d.Age)) || changed
 	}
 	s.mu.Unlock()
+	for _, m := range silent {
+		s.Peers.Drop(m.Peer)
+	}
 	if b.From.Revision > s.Revision() {
 		s.Ahead(b.From.Peer, b.From.Revision)
 	}
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -80,7 +80,7 @@
 	opts := ini.LoadOptions{IgnoreInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: "="}
 	parsed, err := ini.LoadSources(opts, []byte(text))
 	if err != nil {
-		f.find(lineOf(text, err), "", "", fmt.Sprintf("not INI: %v; expected [Section] and Key = Value lines", err))
+		f.find(lineOf(text, err), "", "", fmt.Sprintf("not INI: %s; expected [Section] and Key = Value lines", strings.TrimSpace(err.Error())))
 		return f
 	}
 	f.scan(text)
@@ -96,7 +96,7 @@
 func lineOf(text string, err error) int {
 	for i, line := range strings.Split(text, "\n") {
 		trimmed := strings.TrimSpace(line)
-		if trimmed != "" && strings.HasSuffix(err.Error(), trimmed) {
+		if trimmed != "" && strings.HasSuffix(strings.TrimSpace(err.Error()), trimmed) {
 			return i + 1
 		}
 	}
--- a/inifile/reader.go
+++ b/inifile/reader.go
@@ -38,6 +38,12 @@
 	return v.Text, ok
 }
 
+// Has reports whether the key is set.
+func (r *Reader) Has(key string) bool {
+	_, ok := r.Section.Keys[key]
+	return ok
+}
+
 // Text returns the value of the key, or the default if it is not set.
 func (r *Reader) Text(key, def string) string {
 	if text, ok := r.get(key); ok {
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func newNode(t *testing.T, name, key string) *Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{Name: name, Address: "127.0.0.1:0", Key: key, Dial: (&net.Dialer{}).DialContext, Listen: net.Listen, Log: log}
+	n.Handle("Echo", func(_ context.Context, from string, params json.RawMessage) (any, error) {
+		return from + " said " + string(params), nil
+	})
+	n.Handle("Fail", func(context.Context, string, json.RawMessage) (any, error) {
+		return nil, errors.New("it failed")
+	})
+	assert.NilError(t, n.Run(nil))
+	return n
+}
+
+// TestCalls calls in both directions over one connection.
+func TestCalls(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newNode(t, "a", "k"), newNode(t, "b", "k")
+	defer a.Close()
+	defer b.Close()
+	ctx := context.Background()
+	var got string
+	assert.NilError(t, a.Call(ctx, b.Address, "Echo", 1, &got))
+	assert.Equal(t, got, "a said 1")
+	assert.ErrorContains(t, a.Call(ctx, b.Address, "Fail", 1, &got), "it failed")
+	assert.ErrorContains(t, a.Call(ctx, b.Address, "Nothing", 1, &got), "unknown method")
+	a.mu.Lock()
+	assert.Equal(t, len(a.all), 1)
+	a.mu.Unlock()
+	assert.NilError(t, b.Call(ctx, a.Address, "Echo", 2, &got))
+	b.mu.Lock()
+	assert.Equal(t, len(b.all), 1)
+	b.mu.Unlock()
+}
+
+// TestWrongKey checks that a peer without the shared key can call nothing.
+func TestWrongKey(t *testing.T) {
+	a, b := newNode(t, "a", "k"), newNode(t, "b", "other")
+	defer a.Close()
+	defer b.Close()
+	assert.ErrorContains(t, a.Call(context.Background(), b.Address, "Echo", 1, nil), "wrong peer key")
+}
+
+// TestNoHello checks that a connection that does not begin with a hello can
+// call nothing.
+func TestNoHello(t *testing.T) {
+	a := newNode(t, "a", "k")
+	defer a.Close()
+	c, err := net.Dial("tcp", a.Address)
+	assert.NilError(t, err)
+	defer c.Close()
+	call := map[string]any{"jsonrpc": "2.0", "id": 1, "method": "Echo", "params": 1}
+	assert.NilError(t, frameCodec{}.WriteObject(c, call))
+	var answer struct{ Error *struct{ Message string } }
+	assert.NilError(t, frameCodec{}.ReadObject(bufio.NewReader(c), &answer))
+	assert.Assert(t, answer.Error != nil)
+	assert.Equal(t, answer.Error.Message, "the first message must be Peer.Hello")
+}
+
+// FuzzFrames checks that no bytes make the decoder panic or read beyond the
+// frame's length.
+func FuzzFrames(f *testing.F) {
+	var b bytes.Buffer
+	assert.NilError(f, frameCodec{}.WriteObject(&b, map[string]int{"A": 1}))
+	f.Add(b.Bytes())
+	f.Add([]byte{255, 255, 255, 255, 1})
+	f.Add([]byte{0, 0, 0, 2, '{'})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var v any
+		_ = frameCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &v)
+	})
+}
--- /dev/null
+++ b/setting/setting_test.go
@@ -0,0 +1,30 @@
+package setting
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestParse(t *testing.T) {
+	s, err := Parse("x.ini", "[Instance]\nName = a\nRegion = r\nZone = z\nCaller = 10.0.0.1:1\nPeer = 10.0.0.1:2\n"+
+		"Operator = 10.0.0.1:3\nPlatform = 10.0.0.9:1\nSeeds = 10.0.0.2:2, 10.0.0.3:2\nStopWait = 1s\n")
+	assert.NilError(t, err)
+	assert.Equal(t, s.StopWait, time.Second)
+	assert.DeepEqual(t, s.Seeds, []string{"10.0.0.2:2", "10.0.0.3:2"})
+	assert.Equal(t, s.Policy, "tiered")
+}
+
+func TestFindings(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("testdata", "faults.ini"))
+	assert.NilError(t, err)
+	_, err = Parse("faults.ini", string(text))
+	assert.Assert(t, err != nil)
+	golden.Assert(t, err.Error()+"\n", "faults.ini.golden")
+	_, err = Load("no-such-file.ini")
+	assert.Assert(t, err != nil)
+}
