--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,12 +11,16 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"knapweedwell/pool"
 	"knapweedwell/standin/engine"
+	"knapweedwell/standin/experiment"
 	"knapweedwell/standin/load"
 	"knapweedwell/standin/platform"
 	"knapweedwell/standin/service"
@@ -38,7 +42,7 @@
 	return &ffcli.Command{
 		Name:        "standin",
 		ShortUsage:  "standin COMMAND [flags]",
-		Subcommands: []*ffcli.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand()},
+		Subcommands: []*ffcli.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand(), experimentCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
@@ -101,6 +105,56 @@
 	}
 }
 
+func experimentCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("experiment", flag.ContinueOnError)
+	scenario := fs.String("scenario", "", "scenario `file`")
+	policies := fs.String("policies", "tiered,fifo,least-reported", "`policies`, separated by commas")
+	loads := fs.String("loads", "0.7,1.0,1.5", "demands as parts of the capacity, separated by commas")
+	seeds := fs.Int("seeds", 3, "`number` of seeds, from 1")
+	table := fs.String("csv", "", "`file` for one line a run and class")
+	return &ffcli.Command{
+		Name: "experiment", FlagSet: fs, ShortHelp: "compare policies on a scenario",
+		Exec: func(context.Context, []string) error {
+			return compare(*scenario, *policies, *loads, *seeds, *table)
+		},
+	}
+}
+
+// compare runs the experiment and prints its table.
+func compare(scenario, policies, loads string, seeds int, table string) error {
+	sc, err := experiment.Read(scenario)
+	if err != nil {
+		return err
+	}
+	var ps []pool.Policy
+	for _, p := range strings.Split(policies, ",") {
+		ps = append(ps, pool.Policy(p))
+	}
+	var ls []float64
+	for _, text := range strings.Split(loads, ",") {
+		l, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("load %q is not a number", text)
+		}
+		ls = append(ls, l)
+	}
+	ss := make([]uint64, seeds)
+	for i := range ss {
+		ss[i] = uint64(i + 1)
+	}
+	cells := experiment.Compare(sc, ps, ls, ss)
+	fmt.Printf("scenario %s, %s, capacity %.0f tokens/s, seeds 1 to %d\n", sc.Name, sc.Duration, sc.TokenRate(), seeds)
+	if err := experiment.Write(os.Stdout, sc, cells); err != nil || table == "" {
+		return err
+	}
+	f, err := os.Create(table)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return experiment.WriteCSV(f, cells)
+}
+
 // serve serves until the context ends. The first line printed names the
 // address.
 func serve(ctx context.Context, address string, h http.Handler) error {
--- /dev/null
+++ b/standin/experiment/experiment_test.go
@@ -0,0 +1,34 @@
+package experiment
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"knapweedwell/invariant"
+	"knapweedwell/pool"
+)
+
+// TestScenarios runs the first minute of each scenario beyond the capacity,
+// with the decisions' invariants asserted.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("../../scenarios/*.ini")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, path := range files {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			sc, err := Read(path)
+			assert.NilError(t, err)
+			sc.Duration = time.Minute
+			for _, policy := range []pool.Policy{pool.Tiered, pool.FIFO, pool.LeastReported} {
+				run := &Run{Scenario: sc, Policy: policy, Load: 1.5, Seed: 1, Check: &invariant.Checker{Panic: true}}
+				for _, row := range run.Do().Rows() {
+					ended := row.OK + row.Shed + row.Waited + row.Lost
+					assert.Equal(t, ended, row.Requests, "class %s under %s: requests without an end", row.Class, policy)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/experiment/scenario.go
@@ -0,0 +1,147 @@
+package experiment
+
+import (
+	"os"
+	"time"
+
+	"knapweedwell/inifile"
+)
+
+// Scenario describes engines, demand and faults.
+type Scenario struct {
+	Name       string
+	Duration   time.Duration
+	Instances  int // Instances is the number of entry instances.
+	Engines    int
+	Ceiling    int           // Ceiling is the configured concurrency of an engine.
+	MaxBatch   int           // MaxBatch is the most sequences in one step of an engine.
+	StepBase   time.Duration // StepBase is the time of a step with an empty batch.
+	StepPerSeq time.Duration // StepPerSeq is added for each sequence.
+	Prefill    time.Duration // Prefill is the time to read one prompt token.
+	LoadLag    time.Duration // LoadLag is the age of load reports.
+	QueueLimit int
+	Classes    []Class
+	Faults     []Fault
+}
+
+// Class is one class of requests with its share of the demand.
+type Class struct {
+	Name       string
+	Rank       int
+	Preempts   bool
+	Floor      float64
+	Share      float64 // Share is the part of all demanded tokens.
+	Tokens     int     // Tokens is the median answer length; the tail is heavy.
+	Prompt     int     // Prompt is the prompt length in tokens.
+	Prefixes   int     // Prefixes is the number of shared prompt beginnings.
+	Streamed   bool
+	FirstToken time.Duration
+	Between    time.Duration
+	Whole      time.Duration
+	Timeout    time.Duration // Timeout is the longest wait in a queue.
+	Burst      float64       // Burst multiplies the demand between From and To.
+	From, To   time.Duration
+}
+
+// FaultKind names what happens to an engine.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	Slow  FaultKind = "slow"  // Slow multiplies the time of its steps by Factor.
+	Crash FaultKind = "crash" // Crash ends all its requests and refuses new ones.
+)
+
+// Fault is a fault of one engine from From to To.
+type Fault struct {
+	Kind     FaultKind
+	Engine   int
+	Factor   float64
+	From, To time.Duration
+}
+
+// Read reads a scenario file. The error, if any, is of type inifile.Findings.
+func Read(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, inifile.Findings{{File: path, Line: 1, Message: err.Error()}}
+	}
+	f := inifile.Parse(path, string(text))
+	sc := &Scenario{Name: path}
+	for _, s := range f.Sections {
+		r := f.Read(s)
+		switch s.Kind {
+		case "Scenario":
+			sc.read(r)
+		case "Class":
+			sc.Classes = append(sc.Classes, readClass(r, s.Name))
+		case "Fault":
+			sc.Faults = append(sc.Faults, readFault(r))
+		default:
+			r.Find("", "unknown section; expected [Scenario], [Class NAME] or [Fault NAME]")
+			continue
+		}
+		r.Finish()
+	}
+	if len(f.Findings) > 0 {
+		return nil, f.Findings
+	}
+	return sc, nil
+}
+
+func (sc *Scenario) read(r *inifile.Reader) {
+	sc.Name = r.Text("Name", sc.Name)
+	sc.Duration = r.Duration("Duration", 5*time.Minute, time.Second)
+	sc.Instances = r.Int("Instances", 6, 1, 1000)
+	sc.Engines = r.Int("Engines", 10, 1, 10000)
+	sc.Ceiling = r.Int("Ceiling", 8, 1, 1000)
+	sc.MaxBatch = r.Int("MaxBatch", 8, 1, 1000)
+	sc.StepBase = r.Duration("StepBase", 20*time.Millisecond, 0)
+	sc.StepPerSeq = r.Duration("StepPerSequence", 2*time.Millisecond, 0)
+	sc.Prefill = r.Duration("PrefillPerToken", 200*time.Microsecond, 0)
+	sc.LoadLag = r.Duration("LoadLag", 500*time.Millisecond, 0)
+	sc.QueueLimit = r.Int("QueueLimit", 200, 1, 1000000)
+}
+
+func readClass(r *inifile.Reader, name string) Class {
+	return Class{
+		Name:       name,
+		Rank:       r.Int("Rank", 1, 1, 100),
+		Preempts:   r.Bool("Preempts", false),
+		Floor:      r.Float("Floor", 0.01, 0, 0.5),
+		Share:      r.Float("Share", 0, 0, 1),
+		Tokens:     r.Int("Tokens", 40, 1, 100000),
+		Prompt:     r.Int("Prompt", 500, 1, 1000000),
+		Prefixes:   r.Int("Prefixes", 20, 1, 1000000),
+		Streamed:   r.Bool("Stream", true),
+		FirstToken: r.Duration("FirstToken", 0, 0),
+		Between:    r.Duration("BetweenToken", 0, 0),
+		Whole:      r.Duration("Whole", 0, 0),
+		Timeout:    r.Duration("QueueTimeout", 30*time.Second, 0),
+		Burst:      r.Float("Burst", 1, 0, 1000),
+		From:       r.Duration("BurstFrom", 0, 0),
+		To:         r.Duration("BurstTo", 0, 0),
+	}
+}
+
+func readFault(r *inifile.Reader) Fault {
+	f := Fault{
+		Kind:   FaultKind(r.Text("Kind", string(Slow))),
+		Engine: r.Int("Engine", 0, 0, 10000),
+		Factor: r.Float("Factor", 1, 0.1, 1000),
+		From:   r.Duration("From", 0, 0),
+		To:     r.Duration("To", 0, 0),
+	}
+	if f.Kind != Slow && f.Kind != Crash {
+		r.Find("Kind", "%q is not accepted; expected slow or crash", f.Kind)
+	}
+	return f
+}
+
+// TokenRate returns the tokens a second that all engines generate together with
+// batches as large as the ceiling.
+func (sc *Scenario) TokenRate() float64 {
+	batch := min(sc.Ceiling, sc.MaxBatch)
+	step := sc.StepBase + sc.StepPerSeq*time.Duration(batch)
+	return float64(sc.Engines) * float64(batch) / step.Seconds()
+}
--- a/world/random_test.go
+++ b/world/random_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -70,6 +71,7 @@
 	ops.check()
 	w.report(seed, length)
 	if w.failed {
+		t.Log(strings.Join(w.trace, "\n"))
 		t.Logf("replay: KNAPWEEDWELL_SEED=%d KNAPWEEDWELL_LENGTH=%s go test ./world -run TestRandom -v", seed, length)
 	}
 }
@@ -164,7 +166,9 @@
 		time.Sleep(c.between(500, 4000))
 		f := faults[c.pick(len(faults))]
 		c.world.fault(f.name)
+		c.world.note("%s begins", f.name)
 		f.f()
+		c.world.note("%s ends", f.name)
 	}
 }
 
@@ -177,6 +181,7 @@
 	if s.instance() == nil {
 		return
 	}
+	c.world.note("kill %s", s.name)
 	c.world.kill(s)
 	time.Sleep(c.between(100, 9000))
 	c.restart(s)
@@ -192,6 +197,7 @@
 
 func (c *chaos) stop() {
 	s := c.slot()
+	c.world.note("stop %s", s.name)
 	c.world.stop(s)
 	time.Sleep(c.between(100, 3000))
 	c.restart(s)
@@ -199,6 +205,7 @@
 
 // during holds a change of the network for a random time.
 func (c *chaos) during(links ...link) {
+	c.world.note("cut %v", links)
 	for _, l := range links {
 		c.world.net.set(l.from, l.to, true)
 	}
@@ -268,6 +275,7 @@
 	const grace = 4 * time.Second
 	e := c.world.engines[fmt.Sprintf("engine-%d", 1+c.pick(len(c.world.engines)))]
 	e.Set(engine.Faults{Draining: true})
+	c.world.note("%s drains", e.Name)
 	time.Sleep(grace)
 	before := e.Stats().AfterLeft
 	time.Sleep(c.between(1000, 6000))
