--- a/standin/experiment/book.go
+++ b/standin/experiment/book.go
@@ -35,6 +35,7 @@
 type Book struct {
 	Scenario *Scenario
 	rows     map[string]*Row
+	open     int // open counts the requests that have not ended.
 }
 
 func newBook(sc *Scenario) *Book {
@@ -49,6 +50,7 @@
 func (b *Book) arrived(age time.Duration, req *request) {
 	row := b.rows[req.class.Name]
 	row.Requests++
+	b.open++
 	if b.feasible(req) {
 		row.Feasible++
 	}
@@ -68,6 +70,7 @@
 
 func (b *Book) refused(req *request, reason pool.Reason) {
 	row := b.rows[req.class.Name]
+	b.open--
 	if reason == pool.Waited {
 		row.Waited++
 		return
@@ -80,6 +83,7 @@
 }
 
 func (b *Book) lost(req *request) {
+	b.open--
 	b.rows[req.class.Name].Lost++
 }
 
@@ -91,6 +95,7 @@
 func (b *Book) done(age time.Duration, s *sequence) {
 	row := b.rows[s.req.class.Name]
 	row.OK++
+	b.open--
 	row.Tokens += s.made
 	if m := int(age / time.Minute); m < len(row.Minutes) {
 		row.Minutes[m]++
