Keep what was dispatched for a floor from being preempted

Ruled out: floor credit (floor-served held in every decision). Requests dispatched for a floor are no longer restartable for the shard.

--- a/pool/random_test.go
+++ b/pool/random_test.go
@@ -44,6 +44,8 @@
 	waiting map[string]Ask
 	served  map[string]int
 	shed    map[string]int
+
+	preempted int
 }
 
 func newModel(s *Shard, now time.Time) *model {
@@ -94,6 +96,7 @@
 	if ok && a.Rank >= d.Grant.Rank {
 		return fmt.Errorf("rank %d preempted for rank %d", d.Grant.Rank, a.Rank)
 	}
+	m.preempted++
 	delete(m.running, d.Grant.ID)
 	return m.take(m.s.Finish(m.now, Report{Grant: d.Grant.ID, Finished: true}))
 }
@@ -201,6 +204,37 @@
 	}
 }
 
+// TestFloorIsKept checks that a request that is dispatched for its class's
+// floor is not preempted for those that it went before.
+func TestFloorIsKept(t *testing.T) {
+	check := &invariant.Checker{Panic: true}
+	s, now := newShard(Tiered, check, 1, 3, 100)
+	m := newModel(s, now)
+	cs := classes()
+	for range 2000 {
+		m.now = m.now.Add(time.Second)
+		for s.queue.WaitingTo(1) < 10 {
+			assert.NilError(t, m.ask(cs[0], "A"))
+		}
+		for s.queue.Waiting("low") < 2 {
+			assert.NilError(t, m.ask(cs[3], "A"))
+		}
+		for id, g := range m.running {
+			if g.Class == "top" {
+				assert.NilError(t, m.finish(id))
+				break
+			}
+		}
+		before := m.preempted
+		assert.NilError(t, m.take(s.Tick(m.now)))
+		if m.running == nil || m.preempted == before {
+			continue
+		}
+		t.Fatal("a request dispatched for its floor was preempted")
+	}
+	assert.Assert(t, m.served["low"] > 0)
+}
+
 // BenchmarkDecision times one ask and one grant with a number of requests
 // queued.
 func BenchmarkDecision(b *testing.B) {
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -29,6 +29,10 @@
 		s.queue.Dispatch(it)
 		s.checkFloors()
 		delete(s.asks, it.ID)
+		if floor {
+			// A request dispatched for its floor is not preempted.
+			a.Restartable = false
+		}
 		out = append(out, s.grant(now, *a, u, false))
 	}
 	return out
