Raise an upstream's limit only if its gaps would hold the target

Ruled out: waiting (first tokens were on time) and stragglers (there are none). The limit now rises only if gaps that grow in proportion to it hold the target.

What still misses are the first seconds, in which the limit falls from its ceiling.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,6 +1,8 @@
 // Package limit adapts the concurrency allowed on one upstream to the time
 // between tokens that is seen on it: additive increase while the target is
-// held and the limit is used, multiplicative decrease while it is missed.
+// held and the limit is used, multiplicative decrease while it is missed. The
+// limit is not raised if gaps that grow in proportion to it would miss the
+// target.
 package limit
 
 import (
@@ -26,6 +28,7 @@
 	seen    int
 	missed  int
 	full    bool
+	worst   float64 // worst is the largest share of its target that a gap took in the window.
 }
 
 // Limit returns the requests that may run at once.
@@ -47,6 +50,7 @@
 	}
 	if target > 0 {
 		l.seen += n
+		l.worst = math.Max(l.worst, float64(mean)/float64(target))
 		if mean > target {
 			l.missed += n
 		}
@@ -63,8 +67,8 @@
 	switch {
 	case l.seen > 0 && float64(l.missed) > missAllowed*float64(l.seen):
 		l.current = math.Max(minimumLimit, math.Floor(l.current*decrease))
-	case l.full:
+	case l.full && l.worst*(l.current+increase)/l.current <= 1:
 		l.current = math.Min(float64(l.Max), l.current+increase)
 	}
-	l.seen, l.missed, l.full = 0, 0, false
+	l.seen, l.missed, l.full, l.worst = 0, 0, false, 0
 }
