--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -116,16 +116,17 @@
 
 // run is the state of one request under way.
 type run struct {
-	s       *Service
-	req     *request.Request
-	sink    Sink
-	handed  bool // handed tells that bytes of the request may have reached an upstream.
-	grants  int  // grants counts the grants so far.
-	avoid   string
-	first   time.Duration // first is the time to the first token.
-	meanGap time.Duration
-	tokens  int
-	relay   relay
+	s         *Service
+	req       *request.Request
+	sink      Sink
+	handed    bool // handed tells that bytes of the request may have reached an upstream.
+	grants    int  // grants counts the grants so far.
+	preempted int  // preempted counts the preemptions so far.
+	avoid     string
+	first     time.Duration // first is the time to the first token.
+	meanGap   time.Duration
+	tokens    int
+	relay     relay
 }
 
 // Serve runs the request and relays its answer. A returned failure has not
@@ -306,6 +307,9 @@
 			pause(ctx, movePause)
 		case again:
 			r.avoid = res.avoid
+			if res.preempted {
+				r.preempted++
+			}
 			if f := r.mayRetry(n, res); f != nil {
 				return r.exact(f)
 			}
@@ -452,7 +456,7 @@
 		Class:        r.req.Class,
 		Organisation: r.req.Organisation,
 		Rank:         r.req.Rank,
-		Restartable:  r.req.Idempotent,
+		Restartable:  r.req.Idempotent && r.preempted < pool.MaxPreemptions,
 		Prefix:       r.req.Prefix,
 		PromptTokens: r.req.PromptTokens,
 		Cost:         r.s.lengths.expect(r.req),
--- a/pool/shard.go
+++ b/pool/shard.go
@@ -11,6 +11,8 @@
 const (
 	// GrantLease is how long a grant lives without a report from its holder.
 	GrantLease = 4 * time.Second
+	// MaxPreemptions is how often one request may be preempted.
+	MaxPreemptions = 1
 	// TakeoverWait is how long a new owner waits for reports of grants in use.
 	TakeoverWait = 1200 * time.Millisecond
 	// stallGap is the pause between ticks that counts as a freeze.
--- a/standin/experiment/engine.go
+++ b/standin/experiment/engine.go
@@ -10,16 +10,17 @@
 
 // request is one request of the experiment.
 type request struct {
-	class    *Class
-	org      string
-	prefix   uint64
-	length   int
-	instance int
-	arrived  time.Time
-	ask      string // ask is the ID of the present attempt.
-	tries    int
-	first    time.Time
-	last     time.Time
+	class     *Class
+	org       string
+	prefix    uint64
+	length    int
+	instance  int
+	arrived   time.Time
+	ask       string // ask is the ID of the present attempt.
+	tries     int
+	preempted int // preempted counts its preemptions.
+	first     time.Time
+	last      time.Time
 }
 
 // sequence is one request running on an engine.
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -211,7 +211,7 @@
 	c := req.class
 	r.take(r.shardOf(req), r.shards[r.shardOf(req)].Ask(r.now, pool.Ask{
 		ID: req.ask, Holder: fmt.Sprintf("entry-%d", req.instance), Class: c.Name, Organisation: req.org, Rank: c.Rank,
-		Restartable: true, Prefix: req.prefix, PromptTokens: c.Prompt, Cost: meanLength(c.Tokens),
+		Restartable: req.preempted < pool.MaxPreemptions, Prefix: req.prefix, PromptTokens: c.Prompt, Cost: meanLength(c.Tokens),
 		Arrived: req.arrived, Expires: req.arrived.Add(c.Timeout), Avoid: avoid,
 	}))
 }
@@ -300,6 +300,7 @@
 		return
 	}
 	r.book.preempted(s.req, s.made)
+	s.req.preempted++
 	report := s.report(true)
 	r.after(time.Millisecond, func() {
 		r.take(shard, r.shards[shard].Finish(r.now, report))
@@ -338,7 +339,7 @@
 		for _, list := range [][]*sequence{e.queue, e.batch} {
 			for _, s := range list {
 				helds[s.shard] = append(helds[s.shard], pool.Held{
-					Report: s.report(false), Upstream: e.name, Class: s.req.class.Name, Rank: s.req.class.Rank, Restartable: !s.started,
+					Report: s.report(false), Upstream: e.name, Class: s.req.class.Name, Rank: s.req.class.Rank, Restartable: !s.started && s.grant.Restartable,
 				})
 			}
 		}
