Make control cost flat in the size of the fleet and of the configuration

Benchmarks (package capacity) named three mechanisms, each growing with the size squared or per request: - reading the text compared each section with all others; - the owner of a shard was worked out from all members for every request; - each shard got its own copy of all classes and weights. Ruled out: the transfer (275 KB of text, 12 KB compressed) and the gzip step. Sections are found by header, rendezvous tables and owners are kept until the view changes, classes and weights are shared by the shards of a plan. Heartbeats carry a pulse in place of the whole member, to four neighbours in place of eight.

--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,234 @@
+// Package capacity holds the benchmarks from which docs/CAPACITY.md is worked
+// out: how each cost of control grows.
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/claim"
+	"knapweedwell/config"
+	"knapweedwell/heartbeat"
+	"knapweedwell/invariant"
+	"knapweedwell/member"
+	"knapweedwell/metric"
+	"knapweedwell/peer"
+	"knapweedwell/pool"
+	"knapweedwell/shard"
+	"knapweedwell/standin/fleet"
+)
+
+var sizes = []fleet.Size{{Organisations: 10, Upstreams: 13}, {Organisations: 100, Upstreams: 400}, {Organisations: 490, Upstreams: 1800}}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkConfiguration reads, checks and plans a configuration.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d,upstreams=%d", s.Organisations, s.Upstreams), func(b *testing.B) {
+			text := fleet.Text(s, 0)
+			before := heap()
+			var c *config.Config
+			var p *shard.Plan
+			for range b.N {
+				var err error
+				if c, err = config.Parse("x", text); err != nil {
+					b.Fatal(err)
+				}
+				p = shard.New(c)
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(heap()-before), "kept-B")
+			b.ReportMetric(float64(len(text)), "text-B")
+			runtime.KeepAlive(c)
+			runtime.KeepAlive(p)
+		})
+	}
+}
+
+// BenchmarkShardSettings puts a configuration in force in one shard.
+func BenchmarkShardSettings(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d,upstreams=%d", s.Organisations, s.Upstreams), func(b *testing.B) {
+			c, err := config.Parse("x", fleet.Text(s, 0))
+			if err != nil {
+				b.Fatal(err)
+			}
+			p := shard.New(c)
+			sh := p.ByName[p.Names()[0]]
+			now := time.Now()
+			o := pool.New(sh.Name, pool.Tiered, &invariant.Checker{}, now)
+			for i := range b.N {
+				o.Configure(now, p.Settings(sh, c, int64(i+1)))
+			}
+		})
+	}
+}
+
+func newView(n int) *member.View {
+	v := member.New(newMember(0))
+	for i := 1; i < n; i++ {
+		v.Merge(time.Now(), newMember(i))
+	}
+	return v
+}
+
+func newMember(i int) member.Member {
+	return member.Member{
+		Name: fmt.Sprintf("entry-%d", i), Incarnation: time.Now().UnixNano(), Beat: int64(i), State: member.Live,
+		Region: fmt.Sprintf("Region-%d", i%2), Zone: fmt.Sprintf("Zone-%d", i%7), Revision: 12345,
+		Peer: "10.100.100.100:7002", Caller: "10.100.100.100:7001", Operator: "10.100.100.100:7003",
+	}
+}
+
+var fleets = []int{7, 100, 680}
+
+// BenchmarkMembership is one round of heartbeats: one tick of the view and one
+// merge of each neighbour's beat.
+func BenchmarkMembership(b *testing.B) {
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			before := heap()
+			v := newView(n)
+			b.ReportMetric(float64(heap()-before)/float64(n), "B/member")
+			now := time.Now()
+			b.ResetTimer()
+			for i := range b.N {
+				v.Tick(now)
+				for _, m := range v.Neighbors() {
+					m.Beat = int64(1000 + i)
+					v.Merge(now, m)
+				}
+			}
+			runtime.KeepAlive(v)
+		})
+	}
+}
+
+// BenchmarkOwner asks who owns one shard.
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			v := newView(n)
+			b.ResetTimer()
+			for i := range b.N {
+				v.Owner(fmt.Sprintf("Model-1/Region-0/%d", i%75), "Region-0")
+			}
+		})
+	}
+}
+
+func newNode(b *testing.B, name string) *peer.Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &peer.Node{Name: name, Address: "127.0.0.1:0", Dial: (&net.Dialer{}).DialContext, Listen: net.Listen, Log: log}
+	n.Handle("Grant", func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var a pool.Ask
+		if err := json.Unmarshal(params, &a); err != nil {
+			return nil, err
+		}
+		return pool.Grant{ID: a.ID, Upstream: "Upstream-1"}, nil
+	})
+	if err := n.Run(nil); err != nil {
+		b.Fatal(err)
+	}
+	return n
+}
+
+// BenchmarkRemoteGrant is one ask and its grant over a connection between two
+// instances, both ends included.
+func BenchmarkRemoteGrant(b *testing.B) {
+	x, y := newNode(b, "x"), newNode(b, "y")
+	defer x.Close()
+	defer y.Close()
+	a := pool.Ask{ID: "2f1e1d8a-7d1c-4b1f-8f57-0d9f60c1d1b1", Holder: "entry-1", Class: "Class-1", Organisation: "Organisation-1", Arrived: time.Now(), Expires: time.Now()}
+	var g pool.Grant
+	if err := x.Call(context.Background(), y.Address, "Grant", a, &g); err != nil {
+		b.Fatal(err)
+	}
+	sent, received := x.Bytes()
+	b.ResetTimer()
+	for range b.N {
+		if err := x.Call(context.Background(), y.Address, "Grant", a, &g); err != nil {
+			b.Fatal(err)
+		}
+	}
+	s, r := x.Bytes()
+	b.ReportMetric(float64(s+r-sent-received)/float64(b.N), "wire-B/op")
+}
+
+// BenchmarkTicket takes and finishes one ticket, with a number of records held.
+func BenchmarkTicket(b *testing.B) {
+	for _, n := range []int{100, 10000, 100000} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			now := time.Now()
+			before := heap()
+			t := claim.NewTable("entry-1@1", now)
+			use := func() {
+				c := claim.Claim{Organisation: "Organisation-1", Key: t.Issue(now), Nonce: "1"}
+				t.Take(now, c)
+				t.Finish(c, claim.Outcome{Status: 200, Body: make([]byte, 200)})
+			}
+			for range n {
+				use()
+			}
+			b.ReportMetric(float64(heap()-before)/float64(n), "B/record")
+			b.ResetTimer()
+			for range b.N {
+				use()
+			}
+			runtime.KeepAlive(t)
+		})
+	}
+}
+
+// BenchmarkMetrics books one request, with series for a number of
+// organisations.
+func BenchmarkMetrics(b *testing.B) {
+	for _, n := range []int{10, 100, 490} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			before := heap()
+			r := metric.New()
+			s := metric.Sample{Result: "ok", FirstToken: time.Second, MeanGap: 40 * time.Millisecond, Whole: 9 * time.Second, Tokens: 100, Attained: true}
+			observe := func(i int) {
+				s.Class, s.Organisation = fmt.Sprintf("Class-%d", i%7), fmt.Sprintf("Organisation-%d", i%n)
+				s.FirstToken = time.Duration(1+i%1000) * time.Millisecond
+				r.Observe(s)
+			}
+			for i := range 50 * n {
+				observe(i)
+			}
+			b.ReportMetric(float64(heap()-before)/float64(n+7), "B/series-owner")
+			b.ResetTimer()
+			for i := range b.N {
+				observe(i)
+			}
+			runtime.KeepAlive(r)
+		})
+	}
+}
+
+// BenchmarkBeatBytes reports the size of one heartbeat at rest.
+func BenchmarkBeatBytes(b *testing.B) {
+	var text []byte
+	for range b.N {
+		var err error
+		if text, err = json.Marshal(heartbeat.Beat{Pulse: newMember(1).Pulse()}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(text)), "B/beat")
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	"knapweedwell/pool"
 	"knapweedwell/standin/engine"
 	"knapweedwell/standin/experiment"
+	"knapweedwell/standin/fleet"
 	"knapweedwell/standin/load"
 	"knapweedwell/standin/platform"
 	"knapweedwell/standin/service"
@@ -42,7 +43,7 @@
 	return &ffcli.Command{
 		Name:        "standin",
 		ShortUsage:  "standin COMMAND [flags]",
-		Subcommands: []*ffcli.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand(), experimentCommand()},
+		Subcommands: []*ffcli.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand(), experimentCommand(), fleetCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
@@ -120,6 +121,37 @@
 	}
 }
 
+func fleetCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("fleet", flag.ContinueOnError)
+	instances := fs.String("instances", "5,20,60", "`numbers` of instances, separated by commas")
+	organisations := fs.Int("organisations", 490, "`number` of organisations in the configuration")
+	upstreams := fs.Int("upstreams", 1800, "`number` of upstreams in the configuration")
+	rest := fs.Duration("rest", 10*time.Second, "`time` at rest that is measured")
+	return &ffcli.Command{
+		Name: "fleet", FlagSet: fs, ShortHelp: "measure what idle instances spend on control",
+		Exec: func(context.Context, []string) error {
+			return measure(*instances, fleet.Size{Organisations: *organisations, Upstreams: *upstreams}, *rest)
+		},
+	}
+}
+
+// measure measures fleets of several sizes and prints the table.
+func measure(instances string, size fleet.Size, rest time.Duration) error {
+	var us []*fleet.Usage
+	for _, text := range strings.Split(instances, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return fmt.Errorf("number of instances %q is not a number", text)
+		}
+		u, err := fleet.Measure(n, size, rest)
+		if err != nil {
+			return err
+		}
+		us = append(us, u)
+	}
+	return fleet.Write(os.Stdout, us)
+}
+
 // compare runs the experiment and prints its table.
 func compare(scenario, policies, loads string, seeds int, table string) error {
 	sc, err := experiment.Read(scenario)
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -33,7 +33,9 @@
 
 // Beat is what two instances exchange.
 type Beat struct {
-	From      member.Member
+	Pulse     member.Pulse
+	From      *member.Member // From is set after changes, and for a peer that does not know the sender.
+	Unknown   bool           // Unknown asks the receiver to send From.
 	News      []member.Member
 	Departing []Departing
 }
@@ -60,6 +62,7 @@
 	mu        sync.Mutex
 	view      *member.View
 	departing map[string]time.Time
+	changed   time.Time // changed is when this instance last changed what it says of itself.
 	last      time.Time // last is when the last round began.
 	listeners []func()
 	group     background.Group
@@ -82,8 +85,9 @@
 
 // Run starts the exchange of heartbeats.
 func (s *Service) Run(*kernel.Kernel) error {
-	s.With(func(v *member.View) { v.Self.Peer = s.Peers.Address })
+	s.With(func(v *member.View) { v.SetSelf(func(m *member.Member) { m.Peer = s.Peers.Address }) })
 	s.last = time.Now()
+	s.changed = s.last
 	s.group.Every(period, s.round)
 	s.group.Go(s.listLoop)
 	return nil
@@ -125,7 +129,8 @@
 func (s *Service) Announce(ctx context.Context, change func(*member.Member)) {
 	s.mu.Lock()
 	if change != nil {
-		change(&s.view.Self)
+		s.view.SetSelf(change)
+		s.changed = time.Now()
 	}
 	s.view.Self.Beat++
 	neighbors := s.view.Neighbors()
@@ -198,20 +203,36 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer Beat
-	if err := s.Peers.Call(ctx, address, exchangeMethod, s.own(), &answer); err != nil {
+	if err := s.Peers.Call(ctx, address, exchangeMethod, s.own(false), &answer); err != nil {
+		return err
+	}
+	known := s.merge(answer)
+	if known && !answer.Unknown {
+		return nil
+	}
+	// Unknown also asks the peer to answer with all of itself.
+	again := s.own(true)
+	again.Unknown = !known
+	if err := s.Peers.Call(ctx, address, exchangeMethod, again, &answer); err != nil {
 		return err
 	}
 	s.merge(answer)
 	return nil
 }
 
-// own returns what this instance says in a heartbeat.
-func (s *Service) own() Beat {
+// own returns what this instance says in a heartbeat: all of itself if whole is
+// set or it changed lately, and its pulse otherwise.
+func (s *Service) own(whole bool) Beat {
 	revision := s.Revision()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view.Self.Revision = revision
-	return Beat{From: s.view.Self, News: s.view.News(time.Now()), Departing: s.departures()}
+	b := Beat{Pulse: s.view.Self.Pulse(), News: s.view.News(time.Now()), Departing: s.departures()}
+	if whole || time.Since(s.changed) < member.NewsLifetime {
+		self := s.view.Self
+		b.From = &self
+	}
+	return b
 }
 
 // departures returns the leaving upstreams by name. The lock is held.
@@ -228,10 +249,16 @@
 	return list
 }
 
-func (s *Service) merge(b Beat) {
+// merge takes in a heartbeat. It reports whether its sender is known.
+func (s *Service) merge(b Beat) bool {
 	now := time.Now()
 	s.mu.Lock()
-	changed := s.view.Merge(now, b.From)
+	changed := false
+	if b.From != nil {
+		changed = s.view.Merge(now, *b.From)
+	}
+	known, pulsed := s.view.MergePulse(now, b.Pulse)
+	changed = changed || pulsed
 	var silent []member.Member
 	for _, m := range b.News {
 		if !s.view.Merge(now, m) {
@@ -249,12 +276,15 @@
 	for _, m := range silent {
 		s.Peers.Drop(m.Peer)
 	}
-	if b.From.Revision > s.Revision() {
-		s.Ahead(b.From.Peer, b.From.Revision)
+	if known && b.Pulse.Revision > s.Revision() {
+		var from member.Member
+		s.With(func(v *member.View) { from, _ = v.Get(b.Pulse.Name) })
+		s.Ahead(from.Peer, b.Pulse.Revision)
 	}
 	if changed {
 		s.notify()
 	}
+	return known
 }
 
 func (s *Service) exchange(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -262,8 +292,10 @@
 	if err := json.Unmarshal(params, &b); err != nil {
 		return nil, err
 	}
-	s.merge(b)
-	return s.own(), nil
+	known := s.merge(b)
+	answer := s.own(b.Unknown)
+	answer.Unknown = !known
+	return answer, nil
 }
 
 func (s *Service) members(context.Context, string, json.RawMessage) (any, error) {
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -72,11 +72,13 @@
 	Name     string
 	Sections []*Section
 	Findings Findings
+
+	byHeader map[string]*Section
 }
 
 // Parse reads an INI text. Faults are collected in the file's findings.
 func Parse(name, text string) *File {
-	f := &File{Name: name}
+	f := &File{Name: name, byHeader: map[string]*Section{}}
 	opts := ini.LoadOptions{IgnoreInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: "="}
 	parsed, err := ini.LoadSources(opts, []byte(text))
 	if err != nil {
@@ -121,12 +123,11 @@
 func (f *File) open(header string, line int) *Section {
 	kind, name, _ := strings.Cut(header, " ")
 	s := &Section{Kind: kind, Name: strings.TrimSpace(name), Line: line, Keys: map[string]Value{}}
-	for _, other := range f.Sections {
-		if other.Header() == s.Header() {
-			f.find(line, s.Header(), "", fmt.Sprintf("section stands twice; first at line %d", other.Line))
-			return other
-		}
+	if other := f.byHeader[s.Header()]; other != nil {
+		f.find(line, s.Header(), "", fmt.Sprintf("section stands twice; first at line %d", other.Line))
+		return other
 	}
+	f.byHeader[s.Header()] = s
 	f.Sections = append(f.Sections, s)
 	return s
 }
--- a/member/member.go
+++ b/member/member.go
@@ -47,7 +47,7 @@
 	ForgetAfter  = 10 * time.Minute        // ForgetAfter is when a gone instance is forgotten.
 	NewsLifetime = 6 * time.Second         // NewsLifetime is how long a change is passed on.
 	MaxNews      = 16                      // MaxNews bounds the changes in one heartbeat.
-	MaxNeighbors = 8                       // MaxNeighbors bounds the instances that one instance watches.
+	MaxNeighbors = 4                       // MaxNeighbors bounds the instances that one instance watches.
 )
 
 // Member is one instance as others know it.
@@ -94,6 +94,14 @@
 	Self    Member
 	members map[string]*known
 	ended   map[string]string // ended maps identities that are gone to their successors.
+	derived *derived          // derived is nil after a change.
+}
+
+// derived is what follows from the members' names and states.
+type derived struct {
+	tables    map[string]*rendezvous.Rendezvous // tables by region.
+	owners    map[string]string                 // owners by shard and region.
+	neighbors []string
 }
 
 // New returns a view that knows only the instance itself.
@@ -121,6 +129,7 @@
 	k := v.members[m.Name]
 	if k == nil {
 		v.members[m.Name] = &known{Member: m, heard: now, changed: now}
+		v.derived = nil
 		return true
 	}
 	if !newer(m, k.Member) {
@@ -137,10 +146,50 @@
 	k.absent = m.State == Gone
 	if changed {
 		k.changed = now
+		v.derived = nil
 	}
 	return changed
 }
 
+// Pulse is the part of a member that changes with each heartbeat.
+type Pulse struct {
+	Name        string
+	Incarnation int64
+	Beat        int64
+	State       State
+	Revision    int64
+}
+
+// Pulse returns the member's pulse.
+func (m Member) Pulse() Pulse {
+	return Pulse{Name: m.Name, Incarnation: m.Incarnation, Beat: m.Beat, State: m.State, Revision: m.Revision}
+}
+
+// MergePulse takes in a member's pulse. It reports whether the incarnation is
+// known, and whether the member's state changed.
+func (v *View) MergePulse(now time.Time, p Pulse) (known, changed bool) {
+	k := v.members[p.Name]
+	if k == nil || k.Incarnation != p.Incarnation {
+		return p.Name == v.Self.Name, false
+	}
+	m := k.Member
+	m.Beat, m.State, m.Revision = p.Beat, p.State, p.Revision
+	return true, v.Merge(now, m)
+}
+
+// SetSelf changes what this instance says of itself.
+func (v *View) SetSelf(change func(*Member)) {
+	change(&v.Self)
+	v.derived = nil
+}
+
+func (v *View) derive() *derived {
+	if v.derived == nil {
+		v.derived = &derived{tables: map[string]*rendezvous.Rendezvous{}, owners: map[string]string{}}
+	}
+	return v.derived
+}
+
 // Tick makes silent neighbours suspect and then gone. It returns the members
 // whose state changed.
 func (v *View) Tick(now time.Time) []Member {
@@ -156,6 +205,7 @@
 		case k.State == Gone && now.Sub(k.changed) > ForgetAfter:
 			v.ended[k.Identity()] = k.Successor
 			delete(v.members, name)
+			v.derived = nil
 			continue
 		case k.State == Suspect && now.Sub(k.changed) > GoneAfter-SuspectAfter:
 			state = Gone
@@ -167,6 +217,7 @@
 		if state != k.State {
 			k.State = state
 			k.changed = now
+			v.derived = nil
 			changed = append(changed, k.Member)
 		}
 	}
@@ -210,6 +261,7 @@
 	}
 	k.State = Suspect
 	k.changed = now
+	v.derived = nil
 }
 
 // Get returns the member with the name.
@@ -287,35 +339,69 @@
 // Neighbors returns the members that this instance watches: all, or the
 // MaxNeighbors that follow it in the order of hashed names.
 func (v *View) Neighbors() []Member {
-	var ring []Member
-	for _, k := range v.members {
-		if k.State != Gone {
-			ring = append(ring, k.Member)
-		}
+	d := v.derive()
+	if d.neighbors == nil {
+		d.neighbors = v.ring()
 	}
+	ms := make([]Member, len(d.neighbors))
+	for i, name := range d.neighbors {
+		ms[i] = v.members[name].Member
+	}
+	return ms
+}
+
+// ring returns the names of the first MaxNeighbors members after this instance
+// in the order of hashed names.
+func (v *View) ring() []string {
 	self := xxhash.Sum64String(v.Self.Name)
-	place := func(m Member) uint64 { return xxhash.Sum64String(m.Name) - self }
-	sort.Slice(ring, func(i, j int) bool { return place(ring[i]) < place(ring[j]) })
-	if len(ring) > MaxNeighbors {
-		ring = ring[:MaxNeighbors]
+	place := map[string]uint64{}
+	names := []string{}
+	for name, k := range v.members {
+		if k.State != Gone {
+			names = append(names, name)
+			place[name] = xxhash.Sum64String(name) - self
+		}
 	}
-	return ring
+	sort.Slice(names, func(i, j int) bool { return place[names[i]] < place[names[j]] })
+	return names[:min(len(names), MaxNeighbors)]
 }
 
 // Owner returns the owner of a shard: by rendezvous hashing over the live
 // members in the shard's region, or over all live ones if it has none. Leaving
 // members own shards only while there is no live one.
 func (v *View) Owner(shard, region string) (Member, bool) {
+	d := v.derive()
+	key := region + "\x00" + shard
+	name, known := d.owners[key]
+	if !known {
+		if t := v.table(region); t != nil {
+			name = t.Lookup(shard)
+		}
+		d.owners[key] = name
+	}
+	return v.Get(name)
+}
+
+// table returns the rendezvous table of a region, nil if there is no instance
+// that may own a shard.
+func (v *View) table(region string) *rendezvous.Rendezvous {
+	d := v.derive()
+	t, known := d.tables[region]
+	if known {
+		return t
+	}
 	for _, state := range []State{Live, Leaving} {
 		near, all := v.names(state, region)
 		if len(near) == 0 {
 			near = all
 		}
 		if len(near) > 0 {
-			return v.Get(rendezvous.New(near, xxhash.Sum64String).Lookup(shard))
+			t = rendezvous.New(near, xxhash.Sum64String)
+			break
 		}
 	}
-	return Member{}, false
+	d.tables[region] = t
+	return t
 }
 
 // names returns the names of the members in a state: those of the region, and
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -141,7 +141,7 @@
 	if sh == nil {
 		return
 	}
-	set := sh.Settings(snap.Config, snap.Revision)
+	set := snap.Plan.Settings(sh, snap.Config, snap.Revision)
 	for i := range set.Upstreams {
 		if departing[set.Upstreams[i].Name] {
 			set.Upstreams[i].Leaving = true
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -219,7 +219,9 @@
 // send METHOD URL [Header:Value]... [BODY] sends a request and appends its
 // normalised answer to the file transcript.
 func send(ts *testscript.TestScript, _ bool, args []string) {
-	appendTo(ts, "transcript", "> "+normalize(strings.Join(args, " "))+"\n"+normalize(exchange(args)))
+	answer := exchange(args)
+	ts.Setenv("REQUEST", requestID)
+	appendTo(ts, "transcript", "> "+normalize(strings.Join(args, " "))+"\n"+normalize(answer))
 }
 
 // background sends like send, but does not wait. The command answers collects
@@ -244,6 +246,9 @@
 	ps.results = nil
 }
 
+// requestID is the ID of the last request.
+var requestID string
+
 func exchange(args []string) string {
 	var body string
 	rest := args[2:]
@@ -264,6 +269,7 @@
 		return "no answer\n"
 	}
 	defer resp.Body.Close()
+	requestID = resp.Header.Get("Knapweedwell-Request-Id")
 	answer, err := io.ReadAll(resp.Body)
 	cut := ""
 	if err != nil {
@@ -340,7 +346,9 @@
 	{regexp.MustCompile(`\+\d+(\.\d+)?s?\s+`), "+DURATION "},
 	{regexp.MustCompile(`( +)\d+s( +)`), "  AGE  "},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
-	{regexp.MustCompile(`(by) \w+,`), "$1 AUTHOR,"},
+	{regexp.MustCompile(`by \w+, to revision`), "by AUTHOR, to revision"},
+	{regexp.MustCompile(`"FirstToken": \d+`), `"FirstToken": DURATION`},
+	{regexp.MustCompile(`(  )\d+\.\d+s\n`), "${1}DURATION\n"},
 }
 
 func normalize(text string) string {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -23,8 +23,10 @@
 
 // Plan is the division of one configuration into shards.
 type Plan struct {
-	ByName map[string]*Shard
-	byPool map[string][]*Shard
+	ByName  map[string]*Shard
+	classes []pool.Class
+	weights map[string]float64
+	byPool  map[string][]*Shard
 }
 
 func poolName(target, region string) string {
@@ -39,7 +41,13 @@
 		key := poolName(u.Target, u.Region)
 		pools[key] = append(pools[key], name)
 	}
-	p := &Plan{ByName: map[string]*Shard{}, byPool: map[string][]*Shard{}}
+	p := &Plan{ByName: map[string]*Shard{}, byPool: map[string][]*Shard{}, weights: map[string]float64{}}
+	for _, name := range c.ClassNames() {
+		p.classes = append(p.classes, class(c, c.Classes[name]))
+	}
+	for name, o := range c.Organisations {
+		p.weights[name] = o.Weight
+	}
 	for key, names := range pools {
 		first := c.Upstreams[names[0]]
 		p.cut(key, c.Targets[first.Target], first.Region, names)
@@ -94,19 +102,15 @@
 	return names
 }
 
-// Settings returns what the shard needs of the configuration.
-func (s *Shard) Settings(c *config.Config, revision int64) pool.Settings {
+// Settings returns what a shard needs of the configuration. The classes and
+// weights are shared by all shards and not changed.
+func (p *Plan) Settings(s *Shard, c *config.Config, revision int64) pool.Settings {
 	set := pool.Settings{
 		Revision:      revision,
-		Organisations: map[string]float64{},
+		Classes:       p.classes,
+		Organisations: p.weights,
 		QueueLimit:    c.Targets[s.Target].QueueLimit,
 	}
-	for _, name := range c.ClassNames() {
-		set.Classes = append(set.Classes, class(c, c.Classes[name]))
-	}
-	for name, o := range c.Organisations {
-		set.Organisations[name] = o.Weight
-	}
 	for _, name := range s.Upstreams {
 		u := c.Upstreams[name]
 		set.Upstreams = append(set.Upstreams, pool.UpstreamSettings{
--- a/terminal/change.go
+++ b/terminal/change.go
@@ -34,7 +34,7 @@
 
 func (f *changeFlags) register(fs *flag.FlagSet) {
 	fs.Int64Var(&f.base, "base", -1, "`revision` that the change was made to; -1 means the one in force")
-	fs.StringVar(&f.author, "author", author(), "`name` kept with the change")
+	fs.StringVar(&f.author, "author", "", "`name` kept with the change; the present user's if empty")
 	fs.BoolVar(&f.dryRun, "dry-run", false, "check and show the differences only")
 	fs.BoolVar(&f.wait, "wait", false, "wait until the change is in force everywhere")
 }
@@ -66,6 +66,9 @@
 	if _, err := config.Parse(name, text); err != nil {
 		return fail(ExitUsage, "the configuration is not sound; nothing was changed\n%v", err)
 	}
+	if f.author == "" {
+		f.author = author()
+	}
 	change := revision.Change{ChangeID: uuid.NewString(), Base: f.base, Author: f.author, Text: text, DryRun: f.dryRun}
 	applied, err := applyAgain(ctx, c, change)
 	if err != nil {
