--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -103,7 +103,7 @@
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			before := heap()
 			v := newView(n)
-			b.ReportMetric(float64(heap()-before)/float64(n), "B/member")
+			kept := float64(heap()-before) / float64(n)
 			now := time.Now()
 			b.ResetTimer()
 			for i := range b.N {
@@ -113,6 +113,7 @@
 					v.Merge(now, m)
 				}
 			}
+			b.ReportMetric(kept, "B/member")
 			runtime.KeepAlive(v)
 		})
 	}
@@ -185,11 +186,12 @@
 			for range n {
 				use()
 			}
-			b.ReportMetric(float64(heap()-before)/float64(n), "B/record")
+			kept := float64(heap()-before) / float64(n)
 			b.ResetTimer()
 			for range b.N {
 				use()
 			}
+			b.ReportMetric(kept, "B/record")
 			runtime.KeepAlive(t)
 		})
 	}
@@ -211,11 +213,12 @@
 			for i := range 50 * n {
 				observe(i)
 			}
-			b.ReportMetric(float64(heap()-before)/float64(n+7), "B/series-owner")
+			kept := float64(heap()-before) / float64(n+7)
 			b.ResetTimer()
 			for i := range b.N {
 				observe(i)
 			}
+			b.ReportMetric(kept, "B/series-owner")
 			runtime.KeepAlive(r)
 		})
 	}
@@ -232,3 +235,27 @@
 	}
 	b.ReportMetric(float64(len(text)), "B/beat")
 }
+
+// BenchmarkShardBytes reports the memory of a waiting ask and of a grant.
+func BenchmarkShardBytes(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("asks=%d", n), func(b *testing.B) {
+			var kept float64
+			for range b.N {
+				before := heap()
+				now := time.Now()
+				s := pool.New("shard", pool.Tiered, &invariant.Checker{}, now)
+				s.Configure(now, pool.Settings{
+					Revision: 1, QueueLimit: n + 1, Classes: []pool.Class{{Name: "C", Rank: 1, Weight: 1, Floor: 0.01, Target: time.Second}},
+					Upstreams: []pool.UpstreamSettings{{Name: "u", Concurrency: 1}},
+				})
+				for i := range n {
+					s.Ask(now, pool.Ask{ID: fmt.Sprintf("%036d", i), Holder: "entry-1", Class: "C", Organisation: "O", Rank: 1, Arrived: now, Expires: now.Add(time.Minute)})
+				}
+				kept = float64(heap()-before) / float64(n)
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(kept, "B/ask")
+		})
+	}
+}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -21,12 +21,13 @@
 )
 
 const (
-	period          = time.Second            // period is the time between heartbeats.
-	callTimeout     = 900 * time.Millisecond // callTimeout bounds one heartbeat.
-	listPeriod      = 2 * time.Second        // listPeriod is the time between reads of the instance list in a small fleet.
-	listPerPeriod   = 20                     // listPerPeriod is the fleet size above which the reads are spread out.
-	departingMemory = time.Minute            // departingMemory is how long an upstream is remembered as leaving.
-	maxDeparting    = 32                     // maxDeparting bounds the leaving upstreams in one heartbeat.
+	period          = time.Second             // period is the time between heartbeats.
+	callTimeout     = 900 * time.Millisecond  // callTimeout bounds one heartbeat.
+	listPeriod      = 2 * time.Second         // listPeriod is the time between reads of the instance list in a small fleet.
+	listPerPeriod   = 20                      // listPerPeriod is the fleet size above which the reads are spread out.
+	differTime      = 2 * member.NewsLifetime // differTime is how long views may differ before one is taken over.
+	departingMemory = time.Minute             // departingMemory is how long an upstream is remembered as leaving.
+	maxDeparting    = 32                      // maxDeparting bounds the leaving upstreams in one heartbeat.
 	exchangeMethod  = "Heartbeat.Exchange"
 	membersMethod   = "Heartbeat.Members"
 )
@@ -34,10 +35,11 @@
 // Beat is what two instances exchange.
 type Beat struct {
 	Pulse     member.Pulse
-	From      *member.Member // From is set after changes, and for a peer that does not know the sender.
-	Unknown   bool           // Unknown asks the receiver to send From.
-	News      []member.Member
-	Departing []Departing
+	Digest    uint32          // Digest is that of the sender's view.
+	From      *member.Member  `json:",omitempty"` // From is set after changes, and for a peer that does not know the sender.
+	Unknown   bool            `json:",omitempty"` // Unknown asks the receiver to send From.
+	News      []member.Member `json:",omitempty"`
+	Departing []Departing     `json:",omitempty"`
 }
 
 // Departing is an upstream that the platform listed as leaving, and the time
@@ -63,6 +65,7 @@
 	view      *member.View
 	departing map[string]time.Time
 	changed   time.Time // changed is when this instance last changed what it says of itself.
+	agreed    time.Time // agreed is when a neighbour's view was last the same, or was taken over.
 	last      time.Time // last is when the last round began.
 	listeners []func()
 	group     background.Group
@@ -88,6 +91,7 @@
 	s.With(func(v *member.View) { v.SetSelf(func(m *member.Member) { m.Peer = s.Peers.Address }) })
 	s.last = time.Now()
 	s.changed = s.last
+	s.agreed = s.last
 	s.group.Every(period, s.round)
 	s.group.Go(s.listLoop)
 	return nil
@@ -190,6 +194,22 @@
 	wait.Wait()
 }
 
+// compare takes over the members that a neighbour knows if its view has
+// differed from this one for longer than news travel.
+func (s *Service) compare(address string, digest uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if digest == s.view.Digest() {
+		s.agreed = now
+		return
+	}
+	if now.Sub(s.agreed) > differTime {
+		s.agreed = now
+		s.group.Go(func(ctx context.Context) { s.learn(ctx, address) })
+	}
+}
+
 // judge notes that a refused connection means that the instance is not
 // running, which silence alone does not tell.
 func (s *Service) judge(m member.Member, err error) {
@@ -207,6 +227,7 @@
 		return err
 	}
 	known := s.merge(answer)
+	s.compare(address, answer.Digest)
 	if known && !answer.Unknown {
 		return nil
 	}
@@ -227,7 +248,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view.Self.Revision = revision
-	b := Beat{Pulse: s.view.Self.Pulse(), News: s.view.News(time.Now()), Departing: s.departures()}
+	b := Beat{Pulse: s.view.Self.Pulse(), News: s.view.News(time.Now()), Departing: s.departures(), Digest: s.view.Digest()}
 	if whole || time.Since(s.changed) < member.NewsLifetime {
 		self := s.view.Self
 		b.From = &self
--- a/member/member.go
+++ b/member/member.go
@@ -102,6 +102,7 @@
 	tables    map[string]*rendezvous.Rendezvous // tables by region.
 	owners    map[string]string                 // owners by shard and region.
 	neighbors []string
+	digest    uint32
 }
 
 // New returns a view that knows only the instance itself.
@@ -177,6 +178,12 @@
 	return true, v.Merge(now, m)
 }
 
+// Digest returns a hash of the incarnations that are not gone. Views that agree
+// have equal digests.
+func (v *View) Digest() uint32 {
+	return v.derive().digest
+}
+
 // SetSelf changes what this instance says of itself.
 func (v *View) SetSelf(change func(*Member)) {
 	change(&v.Self)
@@ -186,6 +193,11 @@
 func (v *View) derive() *derived {
 	if v.derived == nil {
 		v.derived = &derived{tables: map[string]*rendezvous.Rendezvous{}, owners: map[string]string{}}
+		for _, m := range v.All() {
+			if m.State != Gone {
+				v.derived.digest ^= uint32(xxhash.Sum64String(m.Identity()))
+			}
+		}
 	}
 	return v.derived
 }
--- a/revision/keeper.go
+++ b/revision/keeper.go
@@ -29,6 +29,7 @@
 	watchWait     = 30 * time.Second
 	fetchMethod   = "Configuration.Fetch"
 	fetchTimeout  = 2 * time.Second
+	relayDelay    = 500 * time.Millisecond // relayDelay is the time that the watch has before a peer is asked.
 	firstBackoff  = 250 * time.Millisecond
 	longBackoff   = 5 * time.Second
 	contactLimit  = 6 * time.Second // contactLimit is the age of the last contact after which an instance is cut off.
@@ -61,13 +62,12 @@
 	mu        sync.Mutex // mu serialises taking a snapshot.
 	listeners []func(*Snapshot)
 	contact   time.Time // contact is the last answer of the platform.
-	fetching  map[string]bool
+	fetching  bool      // fetching is true while a peer is asked.
 	group     background.Group
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
 func (k *Keeper) Prepare() {
-	k.fetching = map[string]bool{}
 	k.Peers.Handle(fetchMethod, k.serveFetch)
 }
 
@@ -226,15 +226,16 @@
 	}
 }
 
-// Ahead fetches the configuration from a peer that has a higher revision.
+// Ahead fetches the configuration from a peer that has a higher revision, unless
+// the watch on the platform brings it first.
 func (k *Keeper) Ahead(address string, revision int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if revision <= k.Revision() || k.fetching[address] {
+	if revision <= k.Revision() || k.fetching {
 		return
 	}
-	k.fetching[address] = true
-	k.group.Go(func(ctx context.Context) { k.fetch(ctx, address) })
+	k.fetching = true
+	k.group.Go(func(ctx context.Context) { k.fetch(ctx, address, revision) })
 }
 
 // fetched is a peer's answer to a fetch.
@@ -243,12 +244,21 @@
 	Record   *record
 }
 
-func (k *Keeper) fetch(ctx context.Context, address string) {
+func (k *Keeper) fetch(ctx context.Context, address string, revision int64) {
 	defer func() {
 		k.mu.Lock()
-		delete(k.fetching, address)
-		k.mu.Unlock()
+		defer k.mu.Unlock()
+		k.fetching = false
 	}()
+	if k.Revision() > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(relayDelay):
+		}
+	}
+	if k.Revision() >= revision {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var f fetched
--- a/standin/experiment/book.go
+++ b/standin/experiment/book.go
@@ -24,6 +24,7 @@
 	Lost       int
 	Preempted  int
 	Tokens     int
+	InTime     int // InTime counts the tokens of answers that ended before the demand did.
 	Wasted     int
 	Feasible   int   // Feasible counts the requests that an empty engine would serve on time.
 	Minutes    []int // Minutes counts the answers of each minute.
@@ -97,6 +98,9 @@
 	row.OK++
 	b.open--
 	row.Tokens += s.made
+	if age <= b.Scenario.Duration {
+		row.InTime += s.made
+	}
 	if m := int(age / time.Minute); m < len(row.Minutes) {
 		row.Minutes[m]++
 	}
@@ -231,7 +235,7 @@
 		waste, _, _ := c.spread(func(r Row) float64 { return percent(r.Wasted, r.Tokens+r.Wasted) })
 		fmt.Fprintf(w, "%.1f\t%s\t%s\t%.0f\t%.1f%%\t%.1f..%.1f\t%.0f%%\t%.0f\t%.2f%%\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n",
 			c.Load, c.Policy, c.Class, get(func(r Row) int { return r.Requests }), med, lo, hi, 100*c.Bound,
-			get(func(r Row) int { return r.Tokens })/sc.Duration.Seconds(), waste,
+			get(func(r Row) int { return r.InTime })/sc.Duration.Seconds(), waste,
 			get(func(r Row) int { return r.Shed }), get(func(r Row) int { return r.Waited }), get(func(r Row) int { return r.Lost }),
 			get(func(r Row) int { return r.Preempted }), get(func(r Row) int { return r.starvedMinutes() }))
 	}
@@ -241,11 +245,11 @@
 // WriteCSV writes one line for each cell and seed.
 func WriteCSV(out io.Writer, cells []*Cell) error {
 	w := csv.NewWriter(out)
-	_ = w.Write([]string{"Load", "Policy", "Class", "Run", "Requests", "OK", "Attained", "Tokens", "Wasted", "Shed", "Waited", "Lost", "Preempted", "EmptyMinutes"})
+	_ = w.Write([]string{"Load", "Policy", "Class", "Run", "Requests", "OK", "Attained", "Tokens", "InTime", "Wasted", "Shed", "Waited", "Lost", "Preempted", "EmptyMinutes"})
 	for _, c := range cells {
 		for i, r := range c.Rows {
 			line := []string{strconv.FormatFloat(c.Load, 'f', 2, 64), string(c.Policy), c.Class}
-			for _, n := range []int{i, r.Requests, r.OK, r.Attained, r.Tokens, r.Wasted, r.Shed, r.Waited, r.Lost, r.Preempted, r.starvedMinutes()} {
+			for _, n := range []int{i, r.Requests, r.OK, r.Attained, r.Tokens, r.InTime, r.Wasted, r.Shed, r.Waited, r.Lost, r.Preempted, r.starvedMinutes()} {
 				line = append(line, strconv.Itoa(n))
 			}
 			_ = w.Write(line)
