Give an upstream work only while its load reports come

An owner that was isolated with a queue granted at once when the network was mended, on what it knew of the upstream before; the upstream had begun to leave meanwhile. TestIsolatedOwnerAndLeavingUpstream shows it: "the upstream got 2 requests 7 s and more after it began to leave". Ruled out: the instance list (not used there) and the holder's check (it knows only what is listed or configured). An owner now gives work only to upstreams whose last report is at most 2 s old; reports are read twice a second.

--- a/claim/table.go
+++ b/claim/table.go
@@ -172,12 +172,6 @@
 	return e
 }
 
-// Unseal takes the decisions back. It is called only if the handover is
-// certain to have failed.
-func (t *Table) Unseal() {
-	t.sealed = false
-}
-
 // Import returns the table of a predecessor, as its successor keeps it.
 func Import(now time.Time, e Export) *Table {
 	t := NewTable(e.Identity, now.Add(-e.Age))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -69,6 +69,7 @@
 	i.kernel = kernel.New()
 	i.metrics = metric.New()
 	i.journal = journal.New()
+	i.metrics.Gauge("knapweedwell_requests_running", func() float64 { return float64(i.Dispatch.Running()) })
 	i.Platform = platform.New(i.Settings.Platform, i.Dial)
 	i.upstreams = upstream.New(i.Dial)
 	self := i.self()
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -95,12 +95,3 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
 	return all
 }
-
-// Violations returns the number of violations of all invariants.
-func (c *Checker) Violations() int64 {
-	var sum int64
-	for _, n := range c.Counts() {
-		sum += n.Violated
-	}
-	return sum
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -23,6 +23,7 @@
 
 const (
 	tickPeriod     = 100 * time.Millisecond
+	reportLimit    = 2 * time.Second // reportLimit is the age up to which a load report is trusted.
 	loadPeriod     = 500 * time.Millisecond
 	sendTimeout    = time.Second
 	askMethod      = "Grant.Ask"
@@ -56,7 +57,6 @@
 type owned struct {
 	*pool.Shard
 	waiters map[string]chan Reply
-	used    time.Time
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
@@ -117,9 +117,11 @@
 	}
 	departing := s.Beats.Departing()
 	now := time.Now()
+	ours := map[string]bool{}
 	for _, name := range snap.Plan.Names() {
 		m, ok := s.Owner(name)
 		mine := ok && m.Name == s.Self
+		ours[name] = mine
 		s.mu.Lock()
 		if mine {
 			s.begin(now, name)
@@ -132,6 +134,18 @@
 		}
 		s.mu.Unlock()
 	}
+	s.forget(ours)
+}
+
+// forget drops the shards that are not owned here once nothing runs in them.
+func (s *Service) forget(ours map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, o := range s.shards {
+		if !ours[name] && o.Idle() && len(o.waiters) == 0 {
+			delete(s.shards, name)
+		}
+	}
 }
 
 func (s *Service) configure(now time.Time, o *owned, snap *revision.Snapshot, departing map[string]bool) {
@@ -154,7 +168,8 @@
 	if o != nil {
 		return o
 	}
-	o = &owned{Shard: pool.New(name, s.Policy, s.Check, now), waiters: map[string]chan Reply{}, used: now}
+	o = &owned{Shard: pool.New(name, s.Policy, s.Check, now), waiters: map[string]chan Reply{}}
+	o.ReportLimit = reportLimit
 	s.shards[name] = o
 	if snap := s.Keeper.Current(); snap != nil {
 		s.configure(now, o, snap, s.Beats.Departing())
@@ -230,7 +245,6 @@
 	s.mu.Lock()
 	now := time.Now()
 	o := s.begin(now, shard)
-	o.used = now
 	o.waiters[a.ID] = ch
 	s.carry(o, o.Ask(now, a))
 	s.mu.Unlock()
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -59,7 +59,7 @@
 // grant books a grant and returns the decision.
 func (s *Shard) grant(now time.Time, a Ask, u *upstream, floor bool) Decision {
 	s.Check.Check(invariant.GrantOnce, s.grants[a.ID] == nil, "shard %s granted %s twice", s.Name, a.ID)
-	s.Check.Check(invariant.LeavingNoWork, u.open(now), "shard %s granted leaving upstream %s", s.Name, u.Name)
+	s.Check.Check(invariant.LeavingNoWork, u.open(now, s.ReportLimit), "shard %s granted leaving upstream %s", s.Name, u.Name)
 	g := &Grant{
 		ID:          a.ID,
 		Holder:      a.Holder,
@@ -130,7 +130,7 @@
 	others := false
 	for _, name := range s.names {
 		u := s.upstreams[name]
-		if !u.open(now) {
+		if !u.open(now, s.ReportLimit) {
 			continue
 		}
 		others = others || name != a.Avoid
@@ -168,7 +168,7 @@
 	for range s.names {
 		u := s.upstreams[s.names[s.turn%len(s.names)]]
 		s.turn++
-		if u.open(now) && u.granted < u.limiter.Limit() {
+		if u.open(now, s.ReportLimit) && u.granted < u.limiter.Limit() {
 			return u
 		}
 	}
@@ -179,7 +179,7 @@
 	var best *upstream
 	for _, name := range s.names {
 		u := s.upstreams[name]
-		if !u.open(now) || u.granted >= u.limiter.Limit() {
+		if !u.open(now, s.ReportLimit) || u.granted >= u.limiter.Limit() {
 			continue
 		}
 		if best == nil || u.reported < best.reported {
@@ -250,7 +250,7 @@
 			continue
 		}
 		u := s.upstreams[g.Upstream]
-		if g.Rank <= rank || !g.Restartable || g.Floor || u == nil || !u.open(now) {
+		if g.Rank <= rank || !g.Restartable || g.Floor || u == nil || !u.open(now, s.ReportLimit) {
 			continue
 		}
 		if victim == nil || worse(g, victim) {
--- a/pool/shard.go
+++ b/pool/shard.go
@@ -30,6 +30,9 @@
 	Name   string
 	Policy Policy
 	Check  *invariant.Checker
+	// ReportLimit is the age of an upstream's last report up to which it gets
+	// work; zero means that no report is needed.
+	ReportLimit time.Duration
 
 	settings  Settings
 	classes   map[string]Class
@@ -124,11 +127,11 @@
 		return UnknownWork
 	}
 	for _, u := range s.upstreams {
-		if !u.Leaving && !u.draining {
+		if u.staying(now, s.ReportLimit) {
 			return ""
 		}
 	}
-	if now.Before(s.openAt) && len(s.classes) == 0 {
+	if now.Before(s.openAt) {
 		return ""
 	}
 	return NoUpstream
@@ -275,6 +278,7 @@
 		return nil
 	}
 	u.reported = running
+	u.heard = now
 	u.draining = draining
 	u.foreign = max(0, running-u.granted-u.floor-foreignMargin)
 	return s.schedule(now)
--- a/pool/types.go
+++ b/pool/types.go
@@ -146,10 +146,11 @@
 type upstream struct {
 	UpstreamSettings
 	limiter   limit.Limiter
-	granted   int // granted counts the grants in use, without floor grants.
-	floor     int // floor counts the floor grants in use.
-	reported  int // reported is the load in the last report.
-	foreign   int // foreign is the reported load that was not granted here.
+	granted   int       // granted counts the grants in use, without floor grants.
+	floor     int       // floor counts the floor grants in use.
+	reported  int       // reported is the load in the last report.
+	heard     time.Time // heard is when the last report came.
+	foreign   int       // foreign is the reported load that was not granted here.
 	draining  bool
 	unhealthy time.Time // unhealthy is the time until which it gets no work.
 	faults    int
@@ -157,8 +158,15 @@
 	prefixes  map[uint64]time.Time
 }
 
-func (u *upstream) open(now time.Time) bool {
-	return !u.Leaving && !u.draining && !now.Before(u.unhealthy)
+// staying reports whether the upstream is known not to be leaving: with a limit,
+// its last report must not be older than that.
+func (u *upstream) staying(now time.Time, limit time.Duration) bool {
+	return !u.Leaving && !u.draining && (limit == 0 || now.Sub(u.heard) <= limit)
+}
+
+// open reports whether the upstream may get new work.
+func (u *upstream) open(now time.Time, limit time.Duration) bool {
+	return u.staying(now, limit) && !now.Before(u.unhealthy)
 }
 
 func (u *upstream) free() bool {
--- a/pool/view.go
+++ b/pool/view.go
@@ -71,15 +71,3 @@
 func (s *Shard) Idle() bool {
 	return len(s.asks) == 0 && len(s.grants) == 0
 }
-
-// AsksOf returns the IDs of all waiting asks of a holder.
-func (s *Shard) AsksOf(holder string) []string {
-	var ids []string
-	for id, a := range s.asks {
-		if a.Holder == holder {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
--- a/tier/queue.go
+++ b/tier/queue.go
@@ -349,15 +349,6 @@
 	return out
 }
 
-// Items returns all waiting items, in no order.
-func (q *Queue) Items() []*Item {
-	all := make([]*Item, 0, len(q.items))
-	for _, it := range q.items {
-		all = append(all, it)
-	}
-	return all
-}
-
 // expiryHeap orders items by Expires. Items that left the queue stay until
 // their time and are then dropped.
 type expiryHeap []*Item
--- a/world/cases_test.go
+++ b/world/cases_test.go
@@ -79,6 +79,45 @@
 	})
 }
 
+// TestIsolatedOwnerAndLeavingUpstream isolates an owner with a full queue, lets
+// the upstream leave meanwhile and mends the network: the owner must not give
+// the upstream work on what it knew before.
+func TestIsolatedOwnerAndLeavingUpstream(t *testing.T) {
+	inWorld(t, options{instances: 3, engines: 1, services: 1, queueLimit: 100, batch: 2}, func(w *world) {
+		w.begin()
+		m, _ := w.slots[0].instance().Owners.Owner("m/North/0")
+		var o *slot
+		for _, s := range w.slots {
+			if s.name == m.Name {
+				o = s
+			}
+		}
+		var wait sync.WaitGroup
+		for n := range 12 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				w.chat(o, "A", "Desk", n, 40, n%2 == 0)
+			}()
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.net.set(o.host, "*", true)
+		w.net.set("*", o.host, true)
+		time.Sleep(time.Second)
+		e := w.engines["engine-1"]
+		e.Set(engine.Faults{Draining: true})
+		time.Sleep(7 * time.Second)
+		before := e.Stats().AfterLeft
+		w.net.heal()
+		time.Sleep(10 * time.Second)
+		if after := e.Stats().AfterLeft; after != before {
+			t.Errorf("the upstream got %d requests 7 s and more after it began to leave", after-before)
+		}
+		e.Set(engine.Faults{})
+		wait.Wait()
+	})
+}
+
 // TestBookingHolderKilled kills the instance between dispatch and answer of a
 // booking; the caller tries again elsewhere with the same key.
 func TestBookingHolderKilled(t *testing.T) {
