Let one start, stop or kill of an instance happen at a time in the tests

In the trace entry-1 is last stopped as planned at 5:38.620 and never killed after it; a kill whose close still waited for unsettled claims (up to two minutes) ended by closing the listeners of the host, which a new instance had by then. Ruled out: the product's start (status showed it live). The test's slots now change one at a time.

--- a/world/random_test.go
+++ b/world/random_test.go
@@ -188,11 +188,7 @@
 }
 
 func (c *chaos) restart(s *slot) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s.instance() == nil {
-		c.world.start(s)
-	}
+	c.world.start(s)
 }
 
 func (c *chaos) stop() {
--- a/world/world_test.go
+++ b/world/world_test.go
@@ -70,6 +70,7 @@
 // slot is a place for one instance, which may be restarted.
 type slot struct {
 	name, host, region, zone string
+	life                     chan struct{} // life lets one start, stop or kill happen at a time.
 
 	mu      sync.Mutex
 	running *instance.Instance
@@ -119,7 +120,7 @@
 	w.buildUpstreams(o)
 	regions := []string{"North", "North", "North", "South", "South", "South", "North"}
 	for i := range o.instances {
-		s := &slot{name: fmt.Sprintf("entry-%d", i+1), host: fmt.Sprintf("10.1.0.%d", i+1), region: regions[i%7], zone: fmt.Sprintf("%s-%d", regions[i%7], i%2)}
+		s := &slot{name: fmt.Sprintf("entry-%d", i+1), host: fmt.Sprintf("10.1.0.%d", i+1), region: regions[i%7], zone: fmt.Sprintf("%s-%d", regions[i%7], i%2), life: make(chan struct{}, 1)}
 		w.net.regions[s.host] = s.region
 		w.slots = append(w.slots, s)
 	}
@@ -177,6 +178,11 @@
 
 // start starts the instance of a slot.
 func (w *world) start(s *slot) {
+	s.life <- struct{}{}
+	defer func() { <-s.life }()
+	if s.instance() != nil {
+		return
+	}
 	i := &instance.Instance{
 		Settings: &setting.Settings{
 			Name: s.name, Region: s.region, Zone: s.zone, Caller: s.caller(), Peer: s.host + ":2", Operator: s.host + ":3",
@@ -195,6 +201,8 @@
 
 // kill ends an instance with no warning.
 func (w *world) kill(s *slot) {
+	s.life <- struct{}{}
+	defer func() { <-s.life }()
 	s.mu.Lock()
 	i := s.running
 	s.running = nil
@@ -214,6 +222,8 @@
 
 // stop stops an instance as planned.
 func (w *world) stop(s *slot) {
+	s.life <- struct{}{}
+	defer func() { <-s.life }()
 	s.mu.Lock()
 	i := s.running
 	s.running = nil
