Report a change with its own revision, also when it was confirmed late

When the answer of a write is lost, the platform is read back; if another change had come on top by then, the later revision was reported as that of the first change, so two changes claimed one revision. Ruled out: the conditional update (the stored history names each base once) and ties of virtual time (they only allow more). The revision is now that of the change itself: the base of the one after it.

--- a/revision/apply.go
+++ b/revision/apply.go
@@ -42,7 +42,7 @@
 	Later    []Entry
 	Reason   string
 
-	record *record // record is what the platform holds under Revision.
+	stored *storedRecord // stored is what the platform held when the change was confirmed.
 }
 
 // Apply checks the text and replaces the configuration if it is still that of
@@ -60,7 +60,7 @@
 		return &Result{Outcome: NotSaved, Reason: err.Error()}, nil
 	}
 	if old.record.has(c.ChangeID) {
-		return &Result{Outcome: Applied, Revision: old.revision}, nil
+		return &Result{Outcome: Applied, Revision: old.record.revisionOf(c.ChangeID, old.revision)}, nil
 	}
 	if c.Base >= 0 && c.Base != old.revision {
 		return conflict(old, c.Base), nil
@@ -124,10 +124,10 @@
 	if res.Outcome != Applied {
 		return res, nil
 	}
-	if res.record == nil {
-		res.record = r
+	if res.stored == nil {
+		res.stored = &storedRecord{revision: res.Revision, record: r}
 	}
-	return res, k.take(res.Revision, res.record)
+	return res, k.take(res.stored.revision, res.stored.record)
 }
 
 // save writes the value, and reads back after each unclear answer until it is
@@ -156,7 +156,7 @@
 	}
 	switch {
 	case now.record.has(c.ChangeID):
-		return &Result{Outcome: Applied, Revision: now.revision, record: now.record}, nil
+		return &Result{Outcome: Applied, Revision: now.record.revisionOf(c.ChangeID, now.revision), stored: now}, nil
 	case now.revision != base:
 		return conflict(now, base), nil
 	}
--- a/revision/record.go
+++ b/revision/record.go
@@ -79,6 +79,19 @@
 	return false
 }
 
+// revisionOf returns the revision that a change made, given the record's own:
+// the base of the change that followed, or the record's revision if none did.
+func (r *record) revisionOf(changeID string, own int64) int64 {
+	revision := own
+	for _, e := range r.History {
+		if e.ChangeID == changeID {
+			break
+		}
+		revision = e.Base
+	}
+	return revision
+}
+
 // since returns the changes made to base and later revisions.
 func (r *record) since(base int64) []Entry {
 	var later []Entry
