Refuse a request with a key as unknown where its claim was not looked at

Cause: an instance that is cut off, has no configuration, has stopped or is full refused with not_run before it looked at the claim on the request's idempotency key.

Ruled out: a lost claim or a second run; the services counted one run each.

Before: world.TestKeyAtCutOffInstance failed at both instances on every run. After: the refusal is outcome_unknown with Retry-After, a later retry gets the recorded answer. Refusals given while the claim is held stay not_run.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -217,7 +217,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, read reader) {
 	end, ok := s.handlers.Begin()
 	if !ok {
-		writeFailure(w, request.Unavailable("this instance has stopped"))
+		writeFailure(w, request.Unavailable("this instance has stopped").Unclaimed(r.Header.Get(KeyHeader)))
 		return
 	}
 	defer end()
@@ -225,7 +225,7 @@
 	defer s.answered.Add(1)
 	snap, o, f := s.identify(r)
 	if f != nil {
-		writeFailure(w, f)
+		writeFailure(w, f.Unclaimed(r.Header.Get(KeyHeader)))
 		return
 	}
 	req, findings := s.base(r, snap, o)
--- a/dispatch/claimed.go
+++ b/dispatch/claimed.go
@@ -32,7 +32,7 @@
 		case claim.Mismatch:
 			return request.Malformed([]request.Finding{{Place: "header Idempotency-Key", Message: "the key was used with another request"}})
 		case claim.Unsure:
-			return r.unsure(a)
+			return request.Undecided("%s", a.Reason)
 		case claim.Busy:
 			if f := r.wait(ctx, a); f != nil {
 				return f
@@ -41,13 +41,6 @@
 	}
 }
 
-func (r *run) unsure(a claim.Unsure) *request.Failure {
-	f := request.Unknown("this attempt was not run, but an earlier one with the key may have been: %s", a.Reason)
-	f.Status = 503
-	f.RetryAfter = time.Second
-	return f
-}
-
 // wait pauses while another attempt with the key runs.
 func (r *run) wait(ctx context.Context, b claim.Busy) *request.Failure {
 	if r.s.Ended(b.Holder) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -142,7 +142,7 @@
 	if admitted {
 		f = r.claimed(ctx)
 	} else {
-		f = request.Refuse("this instance holds as many requests as it may")
+		f = request.Refuse("this instance holds as many requests as it may").Unclaimed(req.Key)
 	}
 	r.end(f)
 	return f
--- a/request/failure.go
+++ b/request/failure.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// Undecided returns an outcome_unknown failure (HTTP 503) for a request that
+// was not run while an earlier one with its idempotency key may have been.
+func Undecided(format string, args ...any) *Failure {
+	return &Failure{
+		Type:       OutcomeUnknown,
+		Status:     http.StatusServiceUnavailable,
+		Message:    "this attempt was not run, but an earlier one with the key may have been: " + fmt.Sprintf(format, args...),
+		RetryAfter: defaultRetryAfter,
+	}
+}
+
+// Unclaimed returns what a refusal becomes if it is given before the claim on
+// the request's idempotency key was looked at. Without a key nothing changes.
+func (f *Failure) Unclaimed(key string) *Failure {
+	if key == "" || f.Type != NotRun {
+		return f
+	}
+	return Undecided("%s", f.Message)
+}
+
 // Broken returns a failed failure (HTTP 502).
 func Broken(format string, args ...any) *Failure {
 	return &Failure{
