--- a/world/refusal_test.go
+++ b/world/refusal_test.go
@@ -5,7 +5,6 @@
 	"time"
 )
 
-
 // TestKeyAtCutOffInstance sends a booking that has run once more, with its key,
 // to an instance that is cut off from the platform and its peers, and to one
 // that has no configuration: neither may say that nothing with the key has run.
