--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -80,10 +80,10 @@
 		asked = by.Name
 		switch {
 		case err == nil && reply.Granted:
-			r.s.Journal.Note(r.req.ID, "granted %s by %s after %s", reply.Upstream, by.Name, reply.Waited.Round(time.Millisecond))
+			r.s.Trail.Note(r.req.ID, "granted %s by %s after %s", reply.Upstream, by.Name, reply.Waited.Round(time.Millisecond))
 			return r.newGrant(a.ID, shard, by, reply), nil
 		case err == nil && !reply.Moved:
-			r.s.Journal.Note(r.req.ID, "refused by %s: %s", by.Name, reply.Reason)
+			r.s.Trail.Note(r.req.ID, "refused by %s: %s", by.Name, reply.Reason)
 			return nil, request.Refuse("%s", reply.Reason)
 		}
 		if ctx.Err() != nil {
@@ -95,7 +95,7 @@
 		if try {
 			break
 		}
-		r.s.Journal.Note(r.req.ID, "owner %s of shard %s moved or did not answer", by.Name, shard)
+		r.s.Trail.Note(r.req.ID, "owner %s of shard %s moved or did not answer", by.Name, shard)
 		pause(ctx, movePause)
 	}
 	return nil, request.Unavailable("no owner of shard %s answers", shard)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -135,7 +135,7 @@
 
 func (r *run) sendFailed(ctx context.Context, g *grant, err error) result {
 	if errors.Is(err, upstream.ErrNotSent) && ctx.Err() == nil {
-		r.s.Journal.Note(r.req.ID, "%s cannot be reached", g.upstream)
+		r.s.Trail.Note(r.req.ID, "%s cannot be reached", g.upstream)
 		return again{reason: err.Error(), avoid: g.upstream}
 	}
 	r.handed = r.handed || !errors.Is(err, upstream.ErrNotSent)
@@ -144,7 +144,7 @@
 
 // broken classifies an attempt that failed before the caller saw any of it.
 func (r *run) broken(ctx context.Context, g *grant, err error) result {
-	r.s.Journal.Note(r.req.ID, "%s broke off: %v", g.upstream, err)
+	r.s.Trail.Note(r.req.ID, "%s broke off: %v", g.upstream, err)
 	if errors.Is(context.Cause(ctx), errPreempted) {
 		return again{reason: "preempted", preempted: true}
 	}
@@ -191,7 +191,7 @@
 	r.relay.begin()
 	err := r.pump(ctx, g, resp.Body)
 	for n := 0; err != nil && n < maxResumes && resumable(ctx, err); n++ {
-		r.s.Journal.Note(r.req.ID, "stream from %s broke after %d events; resuming", g.upstream, r.relay.sent)
+		r.s.Trail.Note(r.req.ID, "stream from %s broke after %d events; resuming", g.upstream, r.relay.sent)
 		err = r.resume(ctx, g, err)
 	}
 	switch {
--- a/dispatch/claimed.go
+++ b/dispatch/claimed.go
@@ -56,7 +56,7 @@
 
 // replay answers with a recorded outcome.
 func (r *run) replay(o claim.Outcome) *request.Failure {
-	r.s.Journal.Note(r.req.ID, "answered from the record of an earlier request with its key")
+	r.s.Trail.Note(r.req.ID, "answered from the record of an earlier request with its key")
 	if o.Failure != nil {
 		return o.Failure
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,12 +13,12 @@
 	"knapweedwell/background"
 	"knapweedwell/claimstore"
 	"knapweedwell/invariant"
-	"knapweedwell/journal"
 	"knapweedwell/kernel"
 	"knapweedwell/metric"
 	"knapweedwell/owner"
 	"knapweedwell/request"
 	"knapweedwell/revision"
+	"knapweedwell/trail"
 	"knapweedwell/upstream"
 )
 
@@ -64,7 +64,7 @@
 	Upstreams  *upstream.Client
 	Check      *invariant.Checker
 	Metrics    *metric.Registry
-	Journal    *journal.Journal
+	Trail      *trail.Trail
 	Log        logrus.FieldLogger
 	Departing  func() map[string]bool
 	Ended      func(identity string) bool // Ended reports whether an incarnation has ended.
@@ -107,7 +107,7 @@
 
 func (s *Service) preempted(id string) {
 	if g := s.table.get(id); g != nil && g.preempt() {
-		s.Journal.Note(g.req.ID, "preempted on %s for a higher tier after %d tokens", g.upstream, g.count())
+		s.Trail.Note(g.req.ID, "preempted on %s for a higher tier after %d tokens", g.upstream, g.count())
 	}
 }
 
@@ -137,7 +137,7 @@
 	r := &run{s: s, req: req, sink: sink}
 	ctx, leave, admitted := s.admission.enter(ctx, s.MaxRunning, r)
 	defer leave()
-	s.Journal.Note(req.ID, "arrived: class %s, organisation %s, target %s", req.Class, req.Organisation, req.Target)
+	s.Trail.Note(req.ID, "arrived: class %s, organisation %s, target %s", req.Class, req.Organisation, req.Target)
 	var f *request.Failure
 	if admitted {
 		f = r.claimed(ctx)
@@ -168,7 +168,7 @@
 	}
 	sample.Attained = f == nil && r.attained(sample)
 	r.s.Metrics.Observe(sample)
-	r.s.Journal.Note(r.req.ID, "ended: %s after %s", result, whole.Round(time.Millisecond))
+	r.s.Trail.Note(r.req.ID, "ended: %s after %s", result, whole.Round(time.Millisecond))
 	r.log(result, f, whole)
 }
 
@@ -218,7 +218,7 @@
 			return r.exact(res.failure)
 		case unused:
 			r.avoid = res.avoid
-			r.s.Journal.Note(r.req.ID, "grant not used: %s", res.reason)
+			r.s.Trail.Note(r.req.ID, "grant not used: %s", res.reason)
 			pause(ctx, movePause)
 		case again:
 			r.avoid = res.avoid
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,7 +14,6 @@
 	"knapweedwell/dispatch"
 	"knapweedwell/heartbeat"
 	"knapweedwell/invariant"
-	"knapweedwell/journal"
 	"knapweedwell/kernel"
 	"knapweedwell/member"
 	"knapweedwell/metric"
@@ -25,6 +24,7 @@
 	"knapweedwell/pool"
 	"knapweedwell/revision"
 	"knapweedwell/setting"
+	"knapweedwell/trail"
 	"knapweedwell/upstream"
 )
 
@@ -61,14 +61,14 @@
 	kernel    *kernel.Kernel
 	upstreams *upstream.Client
 	metrics   *metric.Registry
-	journal   *journal.Journal
+	trail     *trail.Trail
 }
 
 // Run builds and starts all services.
 func (i *Instance) Run() error {
 	i.kernel = kernel.New()
 	i.metrics = metric.New()
-	i.journal = journal.New()
+	i.trail = trail.New()
 	i.metrics.Gauge("knapweedwell_requests_running", func() float64 { return float64(i.Dispatch.Running()) })
 	i.Platform = platform.New(i.Settings.Platform, i.Dial)
 	i.upstreams = upstream.New(i.Dial)
@@ -193,7 +193,7 @@
 		Upstreams:  i.upstreams,
 		Check:      i.Check,
 		Metrics:    i.metrics,
-		Journal:    i.journal,
+		Trail:      i.trail,
 		Log:        i.Log,
 		Departing:  i.Beats.Departing,
 		Ended:      i.ended,
@@ -230,7 +230,7 @@
 		Dispatch: i.Dispatch,
 		Peers:    i.Peers,
 		Metrics:  i.metrics,
-		Journal:  i.journal,
+		Trail:    i.trail,
 		Check:    i.Check,
 		Listen:   i.Listen,
 		Log:      i.Log,
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,12 +19,12 @@
 	"knapweedwell/heartbeat"
 	"knapweedwell/inifile"
 	"knapweedwell/invariant"
-	"knapweedwell/journal"
 	"knapweedwell/kernel"
 	"knapweedwell/metric"
 	"knapweedwell/owner"
 	"knapweedwell/peer"
 	"knapweedwell/revision"
+	"knapweedwell/trail"
 	"knapweedwell/webserver"
 )
 
@@ -42,7 +42,7 @@
 	Dispatch *dispatch.Service
 	Peers    *peer.Node
 	Metrics  *metric.Registry
-	Journal  *journal.Journal
+	Trail    *trail.Trail
 	Check    *invariant.Checker
 	Listen   func(network, address string) (net.Listener, error)
 	Log      logrus.FieldLogger
--- a/operator/report.go
+++ b/operator/report.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"knapweedwell/invariant"
-	"knapweedwell/journal"
 	"knapweedwell/member"
 	"knapweedwell/metric"
 	"knapweedwell/pool"
+	"knapweedwell/trail"
 )
 
 const (
@@ -38,7 +38,7 @@
 // Explanation is what an instance remembers of a request.
 type Explanation struct {
 	Instance string
-	Lines    []journal.Line
+	Lines    []trail.Line
 }
 
 // own returns this instance's report.
@@ -73,7 +73,7 @@
 		if err := json.Unmarshal(params, &id); err != nil {
 			return nil, err
 		}
-		return Explanation{Instance: s.Self, Lines: s.Journal.Lines(id)}, nil
+		return Explanation{Instance: s.Self, Lines: s.Trail.Lines(id)}, nil
 	})
 }
 
@@ -135,7 +135,7 @@
 
 func (s *Server) explainBy(ctx context.Context, m member.Member, id string) Explanation {
 	if m.Name == s.Self {
-		return Explanation{Instance: s.Self, Lines: s.Journal.Lines(id)}
+		return Explanation{Instance: s.Self, Lines: s.Trail.Lines(id)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
