Speak the platform's object protocol with one store client

Package follow lists and watches a kind; the configuration of our own format, the new roster of upstreams and the new route table use it. Upstreams that leave come from the roster.

--- a/claimstore/store.go
+++ b/claimstore/store.go
@@ -97,7 +97,7 @@
 	if err != nil || o == nil {
 		return err
 	}
-	_, err = s.Platform.Update(ctx, objectKind, objectName(c), value, o.Version)
+	_, err = s.Platform.Update(ctx, objectKind, objectName(c), value, o.Revision)
 	return err
 }
 
@@ -128,7 +128,7 @@
 		if err != nil || o == nil {
 			return true, err
 		}
-		err = s.Platform.Delete(ctx, objectKind, objectName(c), o.Version)
+		err = s.Platform.Delete(ctx, objectKind, objectName(c), o.Revision)
 		if errors.Is(err, platform.ErrNotFound) {
 			return true, nil
 		}
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,174 @@
+// Package follow follows the objects of one kind in the platform's store: it
+// lists them, watches for changes, and begins anew when the history is gone.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/background"
+	"knapweedwell/kernel"
+	"knapweedwell/platform"
+)
+
+const (
+	defaultWait  = 10 * time.Second       // defaultWait is how long one watch waits for a change.
+	firstBackoff = 100 * time.Millisecond // firstBackoff is the pause after the first failed call.
+	maxBackoff   = 600 * time.Millisecond // maxBackoff bounds the pause, so that the store's return is noticed at once.
+)
+
+// Follower follows one kind. The exported fields are set before Run. The
+// functions are called one at a time.
+type Follower struct {
+	Platform *platform.Client
+	Kind     string
+	Wait     time.Duration // Wait is how long one watch waits; zero means the default.
+	Delay    time.Duration // Delay bounds the random pause before the first call.
+	Listed   func(l platform.Listing)
+	Changed  func(c platform.Changes)
+	Lost     func(err error)          // Lost is told once when the store stops answering; may be nil.
+	Back     func(away time.Duration) // Back is told once when it answers again; may be nil.
+	Log      logrus.FieldLogger
+
+	mu      sync.Mutex
+	contact time.Time // contact is when the store last answered.
+	synced  int64     // synced is the revision up to which all changes are known.
+	lost    time.Time // lost is when the store stopped answering; zero while it answers.
+	group   background.Group
+}
+
+// Run starts to follow.
+func (f *Follower) Run(*kernel.Kernel) error {
+	if f.Wait == 0 {
+		f.Wait = defaultWait
+	}
+	f.group.Go(f.loop)
+	return nil
+}
+
+// Close stops following.
+func (f *Follower) Close() error {
+	f.group.Close()
+	return nil
+}
+
+// Contact returns when the store last answered, zero if it never did.
+func (f *Follower) Contact() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+// Synced returns the revision up to which all changes of the kind are known.
+func (f *Follower) Synced() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.synced
+}
+
+// Away reports whether the store does not answer now.
+func (f *Follower) Away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lost.IsZero()
+}
+
+func (f *Follower) loop(ctx context.Context) {
+	if f.Delay > 0 {
+		sleep(ctx, rand.N(f.Delay))
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstBackoff
+	pause.MaxInterval = maxBackoff
+	for ctx.Err() == nil {
+		err := f.once(ctx)
+		switch {
+		case err == nil:
+			pause.Reset()
+			continue
+		case errors.Is(err, platform.ErrHistoryGone):
+			f.answered(0)
+			f.Log.WithField("Kind", f.Kind).Info("the store's history is gone; listing anew")
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		f.failed(err)
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// once lists if nothing is known yet, and watches otherwise.
+func (f *Follower) once(ctx context.Context) error {
+	after := f.Synced()
+	if after == 0 {
+		l, err := f.Platform.List(ctx, f.Kind)
+		if err != nil {
+			return err
+		}
+		f.answered(l.Revision)
+		f.Listed(l)
+		return nil
+	}
+	wait := f.Wait
+	if f.Away() {
+		wait = 0
+	}
+	c, err := f.Platform.Watch(ctx, f.Kind, after, wait)
+	if err != nil {
+		return err
+	}
+	f.answered(c.Revision)
+	if len(c.Events) > 0 {
+		f.Changed(c)
+	}
+	return nil
+}
+
+// answered notes an answer and the revision that it brought.
+func (f *Follower) answered(revision int64) {
+	now := time.Now()
+	f.mu.Lock()
+	lost := f.lost
+	f.lost = time.Time{}
+	f.contact = now
+	f.synced = revision
+	f.mu.Unlock()
+	if lost.IsZero() {
+		return
+	}
+	away := now.Sub(lost)
+	f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": away.Milliseconds()}).Info("the store answers again")
+	if f.Back != nil {
+		f.Back(away)
+	}
+}
+
+func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	first := f.lost.IsZero()
+	if first {
+		f.lost = time.Now()
+	}
+	f.mu.Unlock()
+	if !first {
+		return
+	}
+	f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "Error": err.Error()}).Warn("the store does not answer")
+	if f.Lost != nil {
+		f.Lost(err)
+	}
+}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -23,8 +23,6 @@
 const (
 	period          = time.Second             // period is the time between heartbeats.
 	callTimeout     = 900 * time.Millisecond  // callTimeout bounds one heartbeat.
-	listPeriod      = 2 * time.Second         // listPeriod is the time between reads of the instance list in a small fleet.
-	listPerPeriod   = 20                      // listPerPeriod is the fleet size above which the reads are spread out.
 	differTime      = 2 * member.NewsLifetime // differTime is how long views may differ before one is taken over.
 	departingMemory = time.Minute             // departingMemory is how long an upstream is remembered as leaving.
 	maxDeparting    = 32                      // maxDeparting bounds the leaving upstreams in one heartbeat.
@@ -58,6 +56,8 @@
 	Log      logrus.FieldLogger
 	// Revision returns the revision in force here.
 	Revision func() int64
+	// Leaving returns the upstreams that the store lists as leaving; may be nil.
+	Leaving func() []string
 	// Ahead is told of a peer that has a higher revision.
 	Ahead func(peerAddress string, revision int64)
 
@@ -93,7 +93,7 @@
 	s.changed = s.last
 	s.agreed = s.last
 	s.group.Every(period, s.round)
-	s.group.Go(s.listLoop)
+	s.group.Go(s.joinLoop)
 	return nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,6 +23,7 @@
 	"knapweedwell/platform"
 	"knapweedwell/pool"
 	"knapweedwell/revision"
+	"knapweedwell/roster"
 	"knapweedwell/setting"
 	"knapweedwell/trail"
 	"knapweedwell/upstream"
@@ -33,6 +34,7 @@
 	PeerService      = "peer"
 	HeartbeatService = "heartbeat"
 	RevisionService  = "revision"
+	RosterService    = "roster"
 	ClaimService     = "claimstore"
 	OwnerService     = "owner"
 	DispatchService  = "dispatch"
@@ -52,6 +54,7 @@
 	Operator *operator.Server
 	Beats    *heartbeat.Service
 	Keeper   *revision.Keeper
+	Roster   *roster.Service
 	Dispatch *dispatch.Service
 	Owners   *owner.Service
 	Claims   *claimstore.Desk
@@ -144,10 +147,18 @@
 		Log:      i.Log,
 		Silence:  i.silence,
 	}
+	i.Roster = &roster.Service{
+		Platform: i.Platform,
+		Peers:    i.Peers,
+		Log:      i.Log,
+		Listen:   func(r *roster.Roster) { i.Beats.Depart(r.Leaving()) },
+	}
+	i.Beats.Leaving = func() []string { return i.Roster.Current().Leaving() }
 	i.Beats.Revision = i.Keeper.Revision
 	i.Beats.Ahead = i.Keeper.Ahead
 	i.Beats.Prepare()
 	i.Keeper.Prepare()
+	i.Roster.Prepare()
 }
 
 func (i *Instance) silence() (time.Duration, bool) {
@@ -242,6 +253,7 @@
 	i.kernel.Add(PeerService, i.Peers)
 	i.kernel.Add(HeartbeatService, i.Beats)
 	i.kernel.Add(RevisionService, i.Keeper)
+	i.kernel.Add(RosterService, i.Roster)
 	i.kernel.Add(ClaimService, i.Claims)
 	i.kernel.Add(OwnerService, i.Owners)
 	i.kernel.Add(DispatchService, i.Dispatch)
--- a/member/view.go
+++ b/member/view.go
@@ -209,6 +209,15 @@
 	return now.Sub(latest), !latest.IsZero()
 }
 
+// GoneFor returns how long a member has been gone, zero if it is not.
+func (v *View) GoneFor(now time.Time, name string) time.Duration {
+	k := v.members[name]
+	if k == nil || k.State != Gone {
+		return 0
+	}
+	return now.Sub(k.changed)
+}
+
 // Doubt makes a member suspect because a call to it failed.
 func (v *View) Doubt(now time.Time, name string) {
 	k := v.members[name]
--- a/revision/apply.go
+++ b/revision/apply.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &storedRecord{revision: o.Version, record: r, text: text}, nil
+	return &storedRecord{revision: o.Revision, record: r, text: text}, nil
 }
 
 func conflict(old *storedRecord, base int64) *Result {
--- a/revision/keeper.go
+++ b/revision/keeper.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"knapweedwell/background"
 	"knapweedwell/config"
+	"knapweedwell/follow"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
 	"knapweedwell/peer"
@@ -30,9 +30,7 @@
 	fetchMethod   = "Configuration.Fetch"
 	fetchTimeout  = 2 * time.Second
 	relayDelay    = 500 * time.Millisecond // relayDelay is the time that the watch has before a peer is asked.
-	firstBackoff  = 250 * time.Millisecond
-	longBackoff   = 5 * time.Second
-	contactLimit  = 6 * time.Second // contactLimit is the age of the last contact after which an instance is cut off.
+	contactLimit  = 6 * time.Second        // contactLimit is the age of the last contact after which an instance is cut off.
 	contactPeriod = time.Second
 )
 
@@ -63,6 +61,7 @@
 	listeners []func(*Snapshot)
 	contact   time.Time // contact is the last answer of the platform.
 	fetching  bool      // fetching is true while a peer is asked.
+	follower  *follow.Follower
 	group     background.Group
 }
 
@@ -79,17 +78,45 @@
 }
 
 // Run starts to follow the platform.
-func (k *Keeper) Run(*kernel.Kernel) error {
+func (k *Keeper) Run(kn *kernel.Kernel) error {
 	k.touch()
-	k.group.Go(k.watchLoop)
+	k.follower = &follow.Follower{
+		Platform: k.Platform,
+		Kind:     objectKind,
+		Wait:     watchWait,
+		Listed: func(l platform.Listing) {
+			for i := range l.Objects {
+				k.followed(&l.Objects[i])
+			}
+		},
+		Changed: func(c platform.Changes) {
+			for i := range c.Events {
+				if !c.Events[i].Removed {
+					k.followed(&c.Events[i].Object)
+				}
+			}
+		},
+		Log: k.Log,
+	}
 	k.group.Every(contactPeriod, k.keepContact)
-	return nil
+	return k.follower.Run(kn)
+}
+
+// followed takes in an object that the store brought.
+func (k *Keeper) followed(o *platform.Object) {
+	if o.Name != objectName {
+		return
+	}
+	if err := k.takeObject(o); err != nil {
+		k.Log.WithFields(logrus.Fields{"Revision": o.Revision, "Error": err.Error()}).Error("stored configuration was not taken")
+	}
 }
 
 // Close stops following the platform.
 func (k *Keeper) Close() error {
+	err := k.follower.Close()
 	k.group.Close()
-	return nil
+	return err
 }
 
 // Current returns the snapshot in force, or nil if there is none yet.
@@ -114,7 +141,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return time.Since(k.contact) > contactLimit
+	return time.Since(k.contact) > contactLimit && time.Since(k.follower.Contact()) > contactLimit
 }
 
 func (k *Keeper) touch() {
@@ -123,42 +150,6 @@
 	k.contact = time.Now()
 }
 
-func (k *Keeper) watchLoop(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = firstBackoff
-	pause.MaxInterval = longBackoff
-	for ctx.Err() == nil {
-		err := k.watchOnce(ctx)
-		if err == nil {
-			pause.Reset()
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
-		}
-	}
-}
-
-func (k *Keeper) watchOnce(ctx context.Context) error {
-	wait := watchWait
-	if k.Revision() == 0 {
-		wait = 0
-	}
-	o, err := k.Platform.Watch(ctx, objectKind, objectName, k.Revision(), wait)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
-	k.touch()
-	if err != nil {
-		return err
-	}
-	if o != nil {
-		return k.takeObject(o)
-	}
-	return nil
-}
-
 // keepContact asks the platform for a sign of life while all peers are silent.
 func (k *Keeper) keepContact(ctx context.Context, _ time.Time) {
 	silence, known := k.Silence()
@@ -180,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	return k.take(o.Version, r)
+	return k.take(o.Revision, r)
 }
 
 // take puts a revision in force unless one as high is.
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,61 @@
+// Package roster keeps the list of upstreams that announce themselves in the
+// platform's store. It follows the store and the peers, stops using an upstream
+// that leaves, and does not take the gaps of an outage for departures.
+package roster
+
+import (
+	"sort"
+
+	"knapweedwell/route"
+)
+
+// Roster is the list at one moment. It is not changed once it is published.
+type Roster struct {
+	Revision int64 // Revision is that of the newest change in it.
+	Entries  map[string]*route.Upstream
+
+	pools map[string][]*route.Upstream
+}
+
+// newRoster returns a roster of the entries.
+func newRoster(revision int64, entries map[string]*route.Upstream) *Roster {
+	r := &Roster{Revision: revision, Entries: entries, pools: map[string][]*route.Upstream{}}
+	for _, e := range entries {
+		if !e.Leaving {
+			r.pools[e.Pool] = append(r.pools[e.Pool], e)
+		}
+	}
+	for _, es := range r.pools {
+		sort.Slice(es, func(i, j int) bool { return es[i].ID < es[j].ID })
+	}
+	return r
+}
+
+// Pool returns the entries of a pool that take new work, by ID.
+func (r *Roster) Pool(name string) []*route.Upstream {
+	if r == nil {
+		return nil
+	}
+	return r.pools[name]
+}
+
+// Takes reports whether the incarnation of an upstream takes new work.
+func (r *Roster) Takes(id string) bool {
+	e := r.Entries[id]
+	return e != nil && !e.Leaving
+}
+
+// Leaving returns the IDs of the upstreams that are leaving, in order.
+func (r *Roster) Leaving() []string {
+	var ids []string
+	if r == nil {
+		return nil
+	}
+	for id, e := range r.Entries {
+		if e.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/roster/service.go
@@ -0,0 +1,219 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/background"
+	"knapweedwell/follow"
+	"knapweedwell/kernel"
+	"knapweedwell/peer"
+	"knapweedwell/platform"
+	"knapweedwell/route"
+)
+
+const (
+	fetchMethod  = "Roster.Fetch"
+	fetchTimeout = time.Second
+	relayDelay   = 300 * time.Millisecond // relayDelay is the time that the watch has before a peer is asked.
+	settlePeriod = 250 * time.Millisecond
+	startSpread  = 20 * time.Millisecond // startSpread spreads the first lists of instances that start together.
+)
+
+// Service keeps the roster. The exported fields are set before Run.
+type Service struct {
+	Platform *platform.Client
+	Peers    *peer.Node
+	Log      logrus.FieldLogger
+	// Listen is told of each new roster; may be nil.
+	Listen func(*Roster)
+
+	current  atomic.Pointer[Roster]
+	mu       sync.Mutex
+	book     *book
+	fetching bool
+	follower *follow.Follower
+	group    background.Group
+}
+
+// Prepare registers the handler. It is called before the peer node runs.
+func (s *Service) Prepare() {
+	s.book = newBook()
+	s.Peers.Handle(fetchMethod, s.serveFetch)
+}
+
+// Run starts to follow the store.
+func (s *Service) Run(k *kernel.Kernel) error {
+	s.follower = &follow.Follower{
+		Platform: s.Platform,
+		Kind:     platform.UpstreamKind,
+		Delay:    startSpread,
+		Listed:   s.listed,
+		Changed:  s.changed,
+		Back:     s.back,
+		Log:      s.Log,
+	}
+	s.group.Every(settlePeriod, func(_ context.Context, now time.Time) {
+		s.update(func(b *book) bool { return b.settle(now) })
+	})
+	return s.follower.Run(k)
+}
+
+// Close stops following.
+func (s *Service) Close() error {
+	err := s.follower.Close()
+	s.group.Close()
+	return err
+}
+
+// Current returns the roster, nil if none is known yet.
+func (s *Service) Current() *Roster {
+	return s.current.Load()
+}
+
+// Revision returns the revision of the newest change known.
+func (s *Service) Revision() int64 {
+	if r := s.Current(); r != nil {
+		return r.Revision
+	}
+	return 0
+}
+
+// Away reports whether the store does not answer this instance.
+func (s *Service) Away() bool {
+	return s.follower.Away()
+}
+
+// update changes the book and publishes it if that changed anything.
+func (s *Service) update(change func(*book) bool) {
+	s.mu.Lock()
+	if !change(s.book) && s.Current() != nil {
+		s.mu.Unlock()
+		return
+	}
+	r := s.book.publish()
+	s.current.Store(r)
+	s.mu.Unlock()
+	s.Log.WithFields(logrus.Fields{"Revision": r.Revision, "Upstreams": len(r.Entries), "Leaving": r.Leaving()}).Info("roster changed")
+	if s.Listen != nil {
+		s.Listen(r)
+	}
+}
+
+func (s *Service) back(time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.back(time.Now())
+}
+
+func (s *Service) listed(l platform.Listing) {
+	var entries []*route.Upstream
+	for _, o := range l.Objects {
+		if e := s.read(o); e != nil {
+			entries = append(entries, e)
+		}
+	}
+	s.update(func(b *book) bool { return b.list(time.Now(), l.Revision, entries) })
+}
+
+func (s *Service) changed(c platform.Changes) {
+	s.update(func(b *book) bool {
+		changed := false
+		for _, ev := range c.Events {
+			e := s.read(ev.Object)
+			if ev.Removed || e == nil {
+				changed = b.remove(time.Now(), ev.Object.Name) || changed
+				continue
+			}
+			changed = b.put(e) || changed
+		}
+		if changed {
+			b.revision = max(b.revision, c.Revision)
+		}
+		return changed
+	})
+}
+
+// read decodes an entry. One that cannot be read names no upstream.
+func (s *Service) read(o platform.Object) *route.Upstream {
+	e, err := platform.ReadUpstream(o)
+	if err != nil {
+		s.Log.WithFields(logrus.Fields{"Upstream": o.Name, "Revision": o.Revision, "Error": err.Error()}).Warn("entry of an upstream cannot be used")
+		return nil
+	}
+	return e
+}
+
+// Ahead fetches the roster from a peer that knows a newer change, unless the
+// watch brings it first.
+func (s *Service) Ahead(address string, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fetching || !s.behind(revision) {
+		return
+	}
+	s.fetching = true
+	s.group.Go(func(ctx context.Context) { s.fetch(ctx, address, revision) })
+}
+
+// behind reports whether a change at the revision is not known here.
+func (s *Service) behind(revision int64) bool {
+	return revision > s.Revision() && revision > s.follower.Synced()
+}
+
+// fetched is a peer's answer to a fetch.
+type fetched struct {
+	Revision int64
+	Entries  []route.Upstream
+}
+
+func (s *Service) fetch(ctx context.Context, address string, revision int64) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fetching = false
+	}()
+	if s.Current() != nil && !s.Away() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(relayDelay):
+		}
+	}
+	if !s.behind(revision) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var f fetched
+	if err := s.Peers.Call(ctx, address, fetchMethod, nil, &f); err != nil {
+		s.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("roster was not fetched from a peer")
+		return
+	}
+	s.update(func(b *book) bool {
+		if f.Revision <= b.revision {
+			return false
+		}
+		entries := make([]*route.Upstream, len(f.Entries))
+		for i := range f.Entries {
+			entries[i] = &f.Entries[i]
+		}
+		return b.list(time.Now(), f.Revision, entries)
+	})
+}
+
+func (s *Service) serveFetch(context.Context, string, json.RawMessage) (any, error) {
+	r := s.Current()
+	if r == nil {
+		return fetched{}, nil
+	}
+	f := fetched{Revision: r.Revision}
+	for _, e := range r.Entries {
+		f.Entries = append(f.Entries, *e)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,147 @@
+// Package route holds the routes by which callers reach pools of upstreams:
+// which requests match, whose they are, and what may be done with them.
+package route
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Repeat tells how often a request may run.
+type Repeat int
+
+// What may be repeated.
+const (
+	Once   Repeat = iota // Once allows one run for each attempt of the caller.
+	Safely               // Safely allows any number of runs.
+)
+
+// Route leads requests of one host and path prefix to pools.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // Prefix begins and ends with a slash.
+	Repeat      Repeat
+	Stream      bool          // Stream tells that answers are event streams.
+	Resumable   bool          // Resumable allows a stream to go on at another upstream.
+	Timeout     time.Duration // Timeout is the longest that a caller is kept waiting.
+	Aim         time.Duration // Aim is the target for the answer, or the first event of a stream.
+	GapAim      time.Duration // GapAim is the longest pause between events that is on time.
+	Rank        int           // Rank orders requests; 0 is the most urgent.
+	MaxAttempts int           // MaxAttempts is the most upstreams that may run one request.
+	Open        bool          // Open admits callers without a key.
+	Prompts     bool          // Prompts tells that requests carry the parts of their prompts.
+	Targets     []Target
+}
+
+// Repeatable reports whether a request that may have run may run again.
+func (r *Route) Repeatable() bool {
+	return r.Repeat == Safely || (r.Stream && r.Resumable)
+}
+
+// Target is a pool with its share of a route's requests.
+type Target struct {
+	Pool   string
+	Weight float64
+}
+
+// Pool picks a pool by weight.
+func (r *Route) Pool() string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Pool
+	}
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := rand.Float64() * total
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Pool
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Pool
+}
+
+// Engine describes the model engines of a pool.
+type Engine struct {
+	Slots        int // Slots is the most requests that one engine runs at once.
+	MemoryTokens int // MemoryTokens is the cache memory of one engine.
+}
+
+// Pool is a group of upstreams that serve the same requests.
+type Pool struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int     // MaxConnections bounds the connections of one upstream from all instances.
+	Engine         *Engine // Engine is nil for plain services.
+}
+
+// Organisation is a customer of a route table.
+type Organisation struct {
+	Name    string
+	Rank    int
+	HasRank bool // HasRank tells that Rank goes before that of the route.
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	BodyBytes int
+}
+
+// Table is one version of the routes. It is not changed once it is in force.
+type Table struct {
+	Version  int64
+	Revision int64 // Revision is that of the object that held it.
+	Routes   []*Route
+	Pools    map[string]*Pool
+	Keys     map[string]*Organisation // Keys are the organisations by bearer key.
+	Closed   bool                     // Closed tells that callers need a key except on open routes.
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Index prepares the table for Match. It is called once, before use.
+func (t *Table) Index() {
+	t.byHost = map[string][]*Route{}
+	for _, r := range t.Routes {
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, rs := range t.byHost {
+		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
+	}
+}
+
+// Match returns the route of a host with the longest prefix of the path, or
+// nil. The path is the one that the caller sent, unescaped by nobody.
+func (t *Table) Match(host, path string) *Route {
+	rs := t.byHost[strings.ToLower(host)]
+	if rs == nil {
+		if name, _, ok := strings.Cut(host, ":"); ok {
+			rs = t.byHost[strings.ToLower(name)]
+		}
+	}
+	for _, r := range rs {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Owner returns the organisation of a bearer key, or nil.
+func (t *Table) Owner(key string) *Organisation {
+	return t.Keys[key]
+}
+
+// RankOf returns the rank of a request of the organisation on a route.
+func (r *Route) RankOf(o *Organisation) int {
+	if o != nil && o.HasRank {
+		return o.Rank
+	}
+	return r.Rank
+}
