--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,262 @@
+// Package edge assembles an instance that serves the routes of the platform's
+// operator, and stops it without cutting off a request.
+package edge
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/budget"
+	"knapweedwell/forward"
+	"knapweedwell/heartbeat"
+	"knapweedwell/httpwire"
+	"knapweedwell/invariant"
+	"knapweedwell/kernel"
+	"knapweedwell/member"
+	"knapweedwell/metric"
+	"knapweedwell/peer"
+	"knapweedwell/pick"
+	"knapweedwell/picture"
+	"knapweedwell/platform"
+	"knapweedwell/roster"
+	"knapweedwell/route"
+	"knapweedwell/routing"
+	"knapweedwell/setting"
+)
+
+const (
+	leastServing = 3 * time.Second        // leastServing is how long a leaving instance serves callers that kept its address.
+	quietTime    = 600 * time.Millisecond // quietTime is how long nothing has ended before a leaving instance exits.
+	cutMargin    = 400 * time.Millisecond // cutMargin is left of the grace period for the exit.
+	stopPeriod   = 50 * time.Millisecond
+	heardLimit   = 1200 * time.Millisecond // heardLimit is the silence after which an instance is not listed.
+)
+
+// Instance is one instance. The exported fields are set before Run.
+type Instance struct {
+	Settings     *setting.Settings
+	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen       func(network, address string) (net.Listener, error)
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	Log          logrus.FieldLogger
+	Check        *invariant.Checker
+
+	Peers     *peer.Node
+	Beats     *heartbeat.Service
+	Routing   *routing.Keeper
+	Roster    *roster.Service
+	Picture   *picture.Service
+	Forward   *forward.Server
+	Directory *directory
+	Operator  *operatorServer
+
+	kernel  *kernel.Kernel
+	store   *platform.Client
+	links   *httpwire.Pool
+	picker  *pick.Picker
+	metrics *metric.Registry
+	started time.Time
+	routes  atomic.Pointer[setting.Routes] // routes are the settings in force.
+}
+
+// Run builds and starts all services.
+func (i *Instance) Run() error {
+	i.started = time.Now()
+	i.routes.Store(i.Settings.Routes)
+	i.kernel = kernel.New()
+	i.metrics = metric.New()
+	i.store = platform.New(i.Settings.Platform, i.Dial)
+	i.links = &httpwire.Pool{Dial: i.Dial}
+	i.picker = pick.New(i.Settings.Zone, i.Settings.Routes.Zones)
+	i.buildMembership()
+	i.buildKnowledge()
+	i.buildServers()
+	i.kernel.Add("peer", i.Peers)
+	i.kernel.Add("heartbeat", i.Beats)
+	i.kernel.Add("picture", i.Picture)
+	i.kernel.Add("routing", i.Routing)
+	i.kernel.Add("roster", i.Roster)
+	i.kernel.Add("operator", i.Operator)
+	i.kernel.Add("forward", i.Forward)
+	i.kernel.Add("directory", i.Directory)
+	if err := i.kernel.Run(); err != nil {
+		return err
+	}
+	i.Log.WithFields(logrus.Fields{"Zone": i.Settings.Zone, "Caller": i.Forward.Address, "Store": i.Settings.Platform}).Info("instance has started")
+	return nil
+}
+
+func (i *Instance) buildMembership() {
+	s := i.Settings
+	self := member.Member{
+		Name:        s.Name,
+		Incarnation: time.Now().UnixNano(),
+		State:       member.Starting,
+		Region:      s.Region,
+		Zone:        s.Zone,
+		Peer:        s.Peer,
+		Caller:      s.Caller,
+		Operator:    s.Operator,
+		Exchange:    s.Routes.Exchange,
+	}
+	i.Peers = &peer.Node{Name: s.Name, Address: s.Peer, Key: s.PeerKey, Dial: i.Dial, Listen: i.Listen, Log: i.Log}
+	i.Beats = &heartbeat.Service{Self: self, Seeds: s.Seeds, Peers: i.Peers, Platform: i.store, Log: i.Log}
+	i.Beats.Revision = func() int64 { return i.Routing.Version() }
+	i.Beats.Ahead = func(address string, version int64) { i.Routing.Ahead(address, version) }
+	i.Beats.Prepare()
+	i.Beats.With(func(v *member.View) { v.Renumber = true })
+}
+
+func (i *Instance) buildKnowledge() {
+	i.Routing = &routing.Keeper{
+		Platform: i.store, Peers: i.Peers, Check: i.Check, Log: i.Log,
+		Listen: func(*route.Table) { i.goLive() },
+	}
+	i.Roster = &roster.Service{
+		Platform: i.store, Peers: i.Peers, Log: i.Log,
+		Listen: func(*roster.Roster) { i.goLive() },
+	}
+	i.Routing.Prepare()
+	i.Roster.Prepare()
+	i.Picture = &picture.Service{
+		Self:    i.Settings.Name,
+		Address: i.Settings.Routes.Exchange,
+		Listen:  i.ListenPacket,
+		Members: i.Beats.Members,
+		Picker:  i.picker,
+		Roster:  i.Roster.Current,
+		Memory:  i.memory,
+		Version: i.Routing.Version,
+		Changes: i.Roster.Revision,
+		Ahead: func(address string, version, changes int64) {
+			i.Routing.Ahead(address, version)
+			i.Roster.Ahead(address, changes)
+		},
+		Log: i.Log,
+	}
+}
+
+// memory returns the memory of an upstream's engine.
+func (i *Instance) memory(id string) (int, bool) {
+	r, t := i.Roster.Current(), i.Routing.Current()
+	if r == nil || t == nil || r.Entries[id] == nil {
+		return 0, false
+	}
+	p := t.Pools[r.Entries[id].Pool]
+	if p == nil || p.Engine == nil {
+		return 0, false
+	}
+	return p.Engine.MemoryTokens, true
+}
+
+func (i *Instance) buildServers() {
+	r := i.Settings.Routes
+	i.Forward = &forward.Server{
+		Address: i.Settings.Caller,
+		Table:   i.Routing.Current,
+		Roster:  i.Roster.Current,
+		Picker:  i.picker,
+		Links:   i.links,
+		Budget:  &budget.Budget{Ratio: r.RetryRatio, Window: r.RetryWindow, Slack: r.RetrySlack, Instances: i.instances},
+		Metrics: i.metrics,
+		Check:   i.Check,
+		Log:     i.Log,
+		Listen:  i.Listen,
+	}
+	i.Directory = &directory{instance: i}
+	i.Operator = &operatorServer{instance: i}
+	i.metrics.Gauge("knapweedwell_requests_running", func() float64 {
+		n, _ := i.Forward.Busy(time.Now())
+		return float64(n)
+	})
+	i.metrics.Gauge("knapweedwell_configuration_version", func() float64 { return float64(i.Routing.Version()) })
+	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
+	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
+		dialed, _ := i.links.Counts()
+		return float64(dialed)
+	})
+}
+
+// instances returns how many instances are known that may send requests.
+func (i *Instance) instances() int {
+	n := 0
+	i.Beats.With(func(v *member.View) {
+		for _, m := range v.All() {
+			if m.State != member.Gone {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// goLive makes a starting instance live once it has routes and upstreams.
+func (i *Instance) goLive() {
+	if i.Routing.Current() == nil || i.Roster.Current() == nil {
+		return
+	}
+	begun := false
+	i.Beats.With(func(v *member.View) {
+		if v.Self.State != member.Starting {
+			return
+		}
+		begun = true
+		v.SetSelf(func(m *member.Member) { m.State = member.Live })
+	})
+	if begun {
+		i.Beats.Spread()
+		i.Log.WithFields(logrus.Fields{"Version": i.Routing.Version(), "Millis": time.Since(i.started).Milliseconds()}).Info("instance is live")
+	}
+}
+
+// Live reports whether callers may be sent to this instance.
+func (i *Instance) Live() bool {
+	live := false
+	i.Beats.With(func(v *member.View) { live = v.Self.State == member.Live })
+	return live
+}
+
+// Reload takes over what may change while the instance runs: the lifetime of
+// address answers, the grace period and the retry budget. Addresses stay.
+func (i *Instance) Reload(fresh *setting.Settings) {
+	if fresh.Routes == nil {
+		i.Log.Error("the new settings have no routes; the old ones stay")
+		return
+	}
+	i.routes.Store(fresh.Routes)
+	i.Forward.Budget.Set(fresh.Routes.RetryRatio, fresh.Routes.RetrySlack)
+}
+
+// Stop stops the instance without cutting off a request that can end within the
+// grace period.
+func (i *Instance) Stop(ctx context.Context) error {
+	begun := time.Now()
+	i.Log.Info("instance is leaving")
+	i.Beats.With(func(v *member.View) { v.SetSelf(func(m *member.Member) { m.State = member.Leaving }) })
+	i.Forward.Leave(begun)
+	i.Picture.Tell()
+	i.Beats.Spread()
+	end := begun.Add(i.routes.Load().GracePeriod - cutMargin)
+	for now := begun; now.Before(end) && ctx.Err() == nil; now = time.Now() {
+		active, quiet := i.Forward.Busy(now)
+		if active == 0 && quiet > quietTime && now.Sub(begun) > leastServing {
+			break
+		}
+		time.Sleep(stopPeriod)
+	}
+	active, _ := i.Forward.Busy(time.Now())
+	i.Log.WithFields(logrus.Fields{"Millis": time.Since(begun).Milliseconds(), "CutOff": active}).Info("instance has left")
+	return i.Close()
+}
+
+// Close ends all services at once. Requests under way are cut off.
+func (i *Instance) Close() error {
+	err := i.kernel.Close()
+	_ = i.links.Close()
+	_ = i.store.Close()
+	return err
+}
--- /dev/null
+++ b/edge/operator.go
@@ -0,0 +1,67 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"knapweedwell/kernel"
+	"knapweedwell/member"
+	"knapweedwell/operator"
+	"knapweedwell/webserver"
+)
+
+// operatorServer serves metrics and the state of one instance.
+type operatorServer struct {
+	instance *Instance
+	server   *webserver.Server
+}
+
+// Run starts listening.
+func (o *operatorServer) Run(*kernel.Kernel) error {
+	m := mux.NewRouter()
+	m.HandleFunc("/metrics", o.metrics).Methods(http.MethodGet)
+	m.HandleFunc("/status", o.status).Methods(http.MethodGet)
+	o.server = &webserver.Server{Address: o.instance.Settings.Operator, Handler: m, Listen: o.instance.Listen}
+	return o.server.Run()
+}
+
+// Close closes all connections.
+func (o *operatorServer) Close() error {
+	return o.server.Close()
+}
+
+func (o *operatorServer) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	o.instance.metrics.Write(w)
+	operator.WriteInvariants(w, o.instance.Check.Counts())
+}
+
+// Status is the state of one instance.
+type Status struct {
+	Name         string
+	State        string
+	Version      int64
+	RosterAt     int64
+	StoreAway    bool
+	StoreSilence time.Duration // StoreSilence is the time since the store last answered.
+	Running      int
+	Members      []member.Member
+	Upstreams    int
+	Leaving      []string
+}
+
+func (o *operatorServer) status(w http.ResponseWriter, _ *http.Request) {
+	i := o.instance
+	s := Status{
+		Name: i.Settings.Name, Version: i.Routing.Version(), RosterAt: i.Roster.Revision(), StoreAway: i.Roster.Away(),
+		StoreSilence: time.Since(i.Routing.Contact()), Members: i.Beats.Members(), Leaving: i.Roster.Current().Leaving(),
+	}
+	i.Beats.With(func(v *member.View) { s.State = v.Self.State.String() })
+	s.Running, _ = i.Forward.Busy(time.Now())
+	if r := i.Roster.Current(); r != nil {
+		s.Upstreams = len(r.Entries)
+	}
+	webserver.WriteJSON(w, s)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -61,6 +62,7 @@
 	Peers    *peer.Node
 	Platform *platform.Client
 
+	stopWait  atomic.Int64 // stopWait is the wait of a planned stop in nanoseconds.
 	kernel    *kernel.Kernel
 	upstreams *upstream.Client
 	metrics   *metric.Registry
@@ -69,6 +71,7 @@
 
 // Run builds and starts all services.
 func (i *Instance) Run() error {
+	i.stopWait.Store(int64(i.Settings.StopWait))
 	i.kernel = kernel.New()
 	i.metrics = metric.New()
 	i.trail = trail.New()
@@ -285,7 +288,7 @@
 	i.Beats.Announce(ctx, func(m *member.Member) { m.Successor = successor })
 	select {
 	case <-ctx.Done():
-	case <-time.After(i.Settings.StopWait):
+	case <-time.After(time.Duration(i.stopWait.Load())):
 	}
 	whole := i.Caller.Drain(ctx)
 	i.Beats.Announce(context.Background(), func(m *member.Member) { m.State = member.Gone })
@@ -293,6 +296,12 @@
 	return i.Close()
 }
 
+// Reload takes over what may change while the instance runs, which is how long
+// a planned stop serves on.
+func (i *Instance) Reload(fresh *setting.Settings) {
+	i.stopWait.Store(int64(fresh.StopWait))
+}
+
 // successors returns the live instances, those of the same region first.
 func (i *Instance) successors() []member.Member {
 	var near, far []member.Member
--- a/member/member.go
+++ b/member/member.go
@@ -59,6 +59,7 @@
 	Peer        string
 	Caller      string
 	Operator    string
+	Exchange    string // Exchange is the address for datagrams, empty if there is none.
 	Revision    int64
 	Successor   string // Successor is the identity of the instance that took over the tickets of a leaving one.
 }
--- a/member/view.go
+++ b/member/view.go
@@ -17,7 +17,11 @@
 
 // View is one instance's knowledge of all others.
 type View struct {
-	Self    Member
+	Self Member
+	// Renumber allows this instance to take a higher incarnation while it runs. It
+	// is not set where tickets name the incarnation.
+	Renumber bool
+
 	members map[string]*known
 	ended   map[string]ending // ended holds the incarnations that were followed by another.
 	derived *derived          // derived is nil after a change.
@@ -50,7 +54,10 @@
 // Merge takes in what another instance says of a member. It reports whether
 // the member's state or incarnation changed.
 func (v *View) Merge(now time.Time, m Member) bool {
-	if m.Name == v.Self.Name || m.Name == "" {
+	if m.Name == v.Self.Name {
+		return v.outbid(m)
+	}
+	if m.Name == "" {
 		return false
 	}
 	k := v.members[m.Name]
@@ -78,6 +85,17 @@
 	return changed
 }
 
+// outbid takes a higher incarnation if an earlier process of the same name had
+// one as high, which happens when the time of day has been set back.
+func (v *View) outbid(m Member) bool {
+	if !v.Renumber || m.Incarnation <= v.Self.Incarnation {
+		return false
+	}
+	v.Self.Incarnation = m.Incarnation + 1
+	v.derived = nil
+	return true
+}
+
 // Pulse is the part of a member that changes with each heartbeat.
 type Pulse struct {
 	Name        string
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -138,10 +138,11 @@
 func (s *Server) getMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	s.Metrics.Write(w)
-	writeInvariants(w, s.Check.Counts())
+	WriteInvariants(w, s.Check.Counts())
 }
 
-func writeInvariants(w io.Writer, counts []invariant.Count) {
+// WriteInvariants writes the counts of invariants in the Prometheus text format.
+func WriteInvariants(w io.Writer, counts []invariant.Count) {
 	for _, n := range counts {
 		_, _ = io.WriteString(w, invariantLines(n))
 	}
--- /dev/null
+++ b/pick/lease.go
@@ -0,0 +1,172 @@
+package pick
+
+import (
+	"time"
+
+	"knapweedwell/request"
+	"knapweedwell/route"
+)
+
+// Lease is one request that was sent to an upstream, until its end.
+type Lease struct {
+	picker  *Picker
+	pool    *route.Pool
+	state   *state
+	choice  Choice
+	prompt  *request.Prompt
+	rank    int
+	tokens  int
+	begun   time.Time
+	started bool // started tells that the first token came.
+}
+
+// Placement tells that an upstream reads a part.
+type Placement struct {
+	Upstream string
+	Part     uint64
+	Tokens   int
+}
+
+const maxPlaced = 64 // maxPlaced bounds the placements told in one report.
+
+// Begin notes that a request goes to the chosen upstream.
+func (p *Picker) Begin(now time.Time, a Ask, c Choice) *Lease {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(now, c.Upstream)
+	l := &Lease{picker: p, pool: a.Pool, state: s, choice: c, prompt: a.Prompt, rank: min(max(a.Rank, 0), maxRank-1), begun: now}
+	s.running++
+	if a.Pool.Engine == nil {
+		return l
+	}
+	l.tokens = a.Prompt.Tokens + a.Prompt.MaxOutput
+	s.tokens += l.tokens
+	s.pending[l.rank] += c.Missing
+	for i, part := range a.Prompt.Parts {
+		known := s.cache.parts[part.ID] != nil
+		s.cache.add(part.ID, part.Tokens, a.Pool.Engine.MemoryTokens)
+		if !known && i < len(a.Prompt.Parts)-1 && len(p.placed) < maxPlaced {
+			p.placed = append(p.placed, Placement{Upstream: c.Upstream.ID, Part: part.ID, Tokens: part.Tokens})
+		}
+	}
+	return l
+}
+
+// Load notes what an upstream said of the requests that it has.
+func (l *Lease) Load(now time.Time, running, waiting int) {
+	l.picker.mu.Lock()
+	defer l.picker.mu.Unlock()
+	l.state.headerRunning, l.state.headerWaiting, l.state.headerAt = running, waiting, now
+}
+
+// First notes the first token, or the answer of a plain service.
+func (l *Lease) First(now time.Time) {
+	l.picker.mu.Lock()
+	defer l.picker.mu.Unlock()
+	if l.started {
+		return
+	}
+	l.started = true
+	l.state.cleared()
+	took := now.Sub(l.begun).Seconds() - l.picker.distance(l.choice.Upstream.Zone)
+	le := l.picker.pool(l.pool.Name)
+	if l.pool.Engine == nil {
+		return
+	}
+	l.state.pending[l.rank] -= l.choice.Missing
+	le.first(took, l.choice.Missing, l.choice.Pending == 0)
+	predicted := l.choice.Predicted.Seconds() + 0.02
+	l.state.observeSlowness(now, (took+0.02)/predicted*l.state.slowness(now))
+}
+
+// Outcome is how a lease ended.
+type Outcome int
+
+// The outcomes of a lease.
+const (
+	Served      Outcome = iota // Served means a whole answer.
+	Rejected                   // Rejected means that the upstream refused the request because it is full.
+	Failed                     // Failed means that the upstream failed the request.
+	Unreachable                // Unreachable means that no connection could be made.
+	Misplaced                  // Misplaced means that another upstream has the address.
+	Left                       // Left means that the caller or the router ended the request.
+)
+
+// End notes the end of the request.
+func (l *Lease) End(now time.Time, o Outcome) {
+	l.picker.mu.Lock()
+	defer l.picker.mu.Unlock()
+	s := l.state
+	s.running--
+	s.tokens -= l.tokens
+	if !l.started && l.pool.Engine != nil {
+		s.pending[l.rank] -= l.choice.Missing
+	}
+	le := l.picker.pool(l.pool.Name)
+	took := now.Sub(l.begun).Seconds()
+	switch o {
+	case Served:
+		s.observeOutcome(now, false)
+		s.cleared()
+		le.ended(took)
+		if l.pool.Engine == nil {
+			s.observeSlowness(now, (took+0.01)/(le.hold+0.01))
+		}
+	case Rejected:
+		s.headerRunning, s.headerWaiting, s.headerAt = max(l.choice.Upstream.Slots, 1), 1, now
+	case Failed:
+		s.observeOutcome(now, true)
+	case Unreachable, Misplaced:
+		s.observeOutcome(now, true)
+		s.ban(now)
+		s.cache.clear()
+	case Left:
+	}
+}
+
+// Report is what an instance tells its peers of its requests at one upstream.
+type Report struct {
+	Upstream string
+	Counts   Counts
+}
+
+// Reports returns what has to be told, and the placements since the last call.
+func (p *Picker) Reports() ([]Report, []Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var reports []Report
+	for id, s := range p.states {
+		if s.running == 0 {
+			continue
+		}
+		c := Counts{Running: s.running, Tokens: s.tokens}
+		for _, tokens := range s.pending {
+			c.Pending += tokens
+		}
+		reports = append(reports, Report{Upstream: id, Counts: c})
+	}
+	placed := p.placed
+	p.placed = nil
+	return reports, placed
+}
+
+// Told takes in what a peer told.
+func (p *Picker) Told(now time.Time, from string, reports []Report, placed []Placement, memory func(upstream string) (int, bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.states {
+		delete(s.peers, from)
+	}
+	for _, r := range reports {
+		if s := p.states[r.Upstream]; s != nil {
+			r.Counts.At = now
+			s.peers[from] = r.Counts
+		}
+	}
+	for _, pl := range placed {
+		s := p.states[pl.Upstream]
+		if m, ok := memory(pl.Upstream); s != nil && ok {
+			s.cache.add(pl.Part, pl.Tokens, m)
+		}
+	}
+}
--- a/request/failure.go
+++ b/request/failure.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// After sets the wait that is advised before a retry, and returns the failure.
+func (f *Failure) After(wait time.Duration) *Failure {
+	f.RetryAfter = wait
+	return f
+}
+
 // Unknown returns an outcome_unknown failure (HTTP 504).
 func Unknown(format string, args ...any) *Failure {
 	return &Failure{
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -26,6 +26,21 @@
 	MaxBodyBytes int           // MaxBodyBytes is the largest accepted request body.
 	MaxRequests  int           // MaxRequests is the most requests held at once.
 	Policy       string        // Policy selects the scheduling policy; see package pool.
+	Routes       *Routes       // Routes is set if the instance serves the routes that the platform's operator writes.
+}
+
+// Routes are the settings of an instance that serves routes.
+type Routes struct {
+	Readiness       string            // Readiness is the address for the platform's checks.
+	Directory       string            // Directory is the address for callers that ask where to connect.
+	Exchange        string            // Exchange is the address for datagrams of other instances.
+	AddressLifetime time.Duration     // AddressLifetime is how long callers keep an address answer.
+	GracePeriod     time.Duration     // GracePeriod is the time from a stop signal to the kill.
+	RetryRatio      float64           // RetryRatio is the repeats for each request that all instances share.
+	RetryWindow     time.Duration     // RetryWindow is the time over which repeats are counted.
+	RetrySlack      float64           // RetrySlack is the repeats of all instances beyond the ratio in a window.
+	MemoryMegabytes int               // MemoryMegabytes is the memory that the process may use; zero means no bound.
+	Zones           map[string]string // Zones are the regions by availability zone.
 }
 
 // Defaults of the settings.
@@ -33,9 +48,19 @@
 	defaultStopWait     = 12 * time.Second
 	defaultMaxBodyBytes = 4 << 20
 	defaultMaxRequests  = 4000
+
+	defaultAddressLifetime = 1500 * time.Millisecond
+	defaultGracePeriod     = 30 * time.Second
+	defaultRetryRatio      = 0.1
+	defaultRetryWindow     = 10 * time.Second
 )
 
-const section = "Instance"
+// Sections of the settings.
+const (
+	section       = "Instance"
+	routesSection = "Routes"
+	zonesSection  = "Zones"
+)
 
 // Load reads the settings from a file.
 func Load(path string) (*Settings, error) {
@@ -52,13 +77,24 @@
 	f := inifile.Parse(name, text)
 	s := &Settings{}
 	found := false
+	zones := map[string]string{}
 	for _, sec := range f.Sections {
-		if sec.Header() != section {
-			f.Read(sec).Find("", "unknown section; expected [%s]", section)
-			continue
+		switch sec.Header() {
+		case section:
+			found = true
+			s.read(f.Read(sec))
+		case routesSection:
+			s.Routes = readRoutes(f.Read(sec))
+		case zonesSection:
+			for zone, region := range sec.Keys {
+				zones[zone] = region.Text
+			}
+		default:
+			f.Read(sec).Find("", "unknown section; expected [%s], [%s] or [%s]", section, routesSection, zonesSection)
 		}
-		found = true
-		s.read(f.Read(sec))
+	}
+	if s.Routes != nil {
+		s.Routes.Zones = zones
 	}
 	if !found {
 		f.Findings = append(f.Findings, inifile.Finding{File: name, Line: 1, Section: section, Message: "section is missing"})
@@ -101,3 +137,19 @@
 		r.Find("Policy", "%q is not accepted; expected tiered, fifo or least-reported", s.Policy)
 	}
 }
+
+func readRoutes(r *inifile.Reader) *Routes {
+	routes := &Routes{
+		Readiness:       r.Address("Readiness", true),
+		Directory:       r.Address("Directory", true),
+		Exchange:        r.Address("Exchange", true),
+		AddressLifetime: r.Duration("AddressLifetime", defaultAddressLifetime, time.Millisecond),
+		GracePeriod:     r.Duration("GracePeriod", defaultGracePeriod, 0),
+		RetryRatio:      r.Float("RetryRatio", defaultRetryRatio, 0, 1),
+		RetryWindow:     r.Duration("RetryWindow", defaultRetryWindow, time.Second),
+		RetrySlack:      r.Float("RetrySlack", 0, 0, 1e6),
+		MemoryMegabytes: r.Int("MemoryMegabytes", 0, 0, 1<<20),
+	}
+	r.Finish()
+	return routes
+}
--- a/webserver/webserver.go
+++ b/webserver/webserver.go
@@ -2,6 +2,7 @@
 package webserver
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -23,6 +24,12 @@
 	Handler http.Handler
 	Listen  func(network, address string) (net.Listener, error)
 
+	// Limits of what a client may send and how long it may take; zero means the
+	// defaults.
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+	MaxHeaderBytes int
+
 	server *http.Server
 	ended  chan struct{}
 }
@@ -36,9 +43,9 @@
 	s.Address = l.Addr().String()
 	s.server = &http.Server{
 		Handler:           s.Handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: cmp.Or(s.HeaderTimeout, headerTimeout),
+		IdleTimeout:       cmp.Or(s.IdleTimeout, idleTimeout),
+		MaxHeaderBytes:    cmp.Or(s.MaxHeaderBytes, maxHeaderBytes),
 	}
 	s.ended = make(chan struct{})
 	go func() {
