Let two instances notice a watch that hears nothing

Ruled out: keep-alive probes (the store's host answers them), peers (all heard nothing alike). Change: two instances, chosen by hash among those that reach the store, wait 1 s at most; versions in datagrams lead the others to fetch from them.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,11 +113,11 @@
 
 func (i *Instance) buildKnowledge() {
 	i.Routing = &routing.Keeper{
-		Platform: i.store, Peers: i.Peers, Check: i.Check, Log: i.Log,
+		Platform: i.store, Peers: i.Peers, Check: i.Check, Log: i.Log, Watchful: i.watchful,
 		Listen: func(*route.Table) { i.goLive() },
 	}
 	i.Roster = &roster.Service{
-		Platform: i.store, Peers: i.Peers, Log: i.Log,
+		Platform: i.store, Peers: i.Peers, Log: i.Log, Watchful: i.watchful,
 		Listen: func(*roster.Roster) { i.goLive() },
 	}
 	i.Routing.Prepare()
@@ -132,6 +132,7 @@
 		Memory:  i.memory,
 		Version: i.Routing.Version,
 		Changes: i.Roster.Revision,
+		Away:    i.Roster.Away,
 		Ahead: func(address string, version, changes int64) {
 			i.Routing.Ahead(address, version)
 			i.Roster.Ahead(address, changes)
@@ -140,6 +141,11 @@
 	}
 }
 
+// watchful reports whether this instance follows the store with short waits.
+func (i *Instance) watchful() bool {
+	return i.Picture.Watchful()
+}
+
 // memory returns the memory of an upstream's engine.
 func (i *Instance) memory(id string) (int, bool) {
 	r, t := i.Roster.Current(), i.Routing.Current()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	defaultWait  = 10 * time.Second       // defaultWait is how long one watch waits for a change.
+	longWait     = 10 * time.Second       // longWait is how long one watch waits for a change.
+	shortWait    = time.Second            // shortWait is that of an instance that has to notice a watch which hears nothing.
+	lookPeriod   = 200 * time.Millisecond // lookPeriod is the time between looks whether the wait must be short.
 	firstBackoff = 100 * time.Millisecond // firstBackoff is the pause after the first failed call.
 	maxBackoff   = 600 * time.Millisecond // maxBackoff bounds the pause, so that the store's return is noticed at once.
 )
@@ -28,7 +30,7 @@
 type Follower struct {
 	Platform *platform.Client
 	Kind     string
-	Wait     time.Duration // Wait is how long one watch waits; zero means the default.
+	Watchful func() bool   // Watchful tells whether waits have to be short; nil means that they are long.
 	Delay    time.Duration // Delay bounds the random pause before the first call.
 	Listed   func(l platform.Listing)
 	Changed  func(c platform.Changes)
@@ -45,9 +47,6 @@
 
 // Run starts to follow.
 func (f *Follower) Run(*kernel.Kernel) error {
-	if f.Wait == 0 {
-		f.Wait = defaultWait
-	}
 	f.group.Go(f.loop)
 	return nil
 }
@@ -123,12 +122,8 @@
 		f.Listed(l)
 		return nil
 	}
-	wait := f.Wait
-	if f.Away() {
-		wait = 0
-	}
-	c, err := f.Platform.Watch(ctx, f.Kind, after, wait)
-	if err != nil {
+	c, again, err := f.watch(ctx, after)
+	if err != nil || again {
 		return err
 	}
 	f.answered(c.Revision)
@@ -138,6 +133,54 @@
 	return nil
 }
 
+// watch waits for changes. It reports whether the wait was given up to begin one
+// that is shorter.
+func (f *Follower) watch(ctx context.Context, after int64) (c platform.Changes, again bool, err error) {
+	wait := longWait
+	switch {
+	case f.Away():
+		wait = 0
+	case f.watchful():
+		wait = shortWait
+	}
+	if wait != longWait {
+		c, err = f.Platform.Watch(ctx, f.Kind, after, wait)
+		return c, false, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go f.hurry(ctx, cancel)
+	c, err = f.Platform.Watch(ctx, f.Kind, after, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errHurry) {
+		return c, true, nil
+	}
+	return c, false, err
+}
+
+// errHurry is the cause with which a long wait is given up.
+var errHurry = errors.New("the wait has to be short")
+
+// hurry ends a long wait once waits have to be short.
+func (f *Follower) hurry(ctx context.Context, cancel context.CancelCauseFunc) {
+	ticker := time.NewTicker(lookPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if f.watchful() {
+				cancel(errHurry)
+				return
+			}
+		}
+	}
+}
+
+func (f *Follower) watchful() bool {
+	return f.Watchful != nil && f.Watchful()
+}
+
 // answered notes an answer and the revision that it brought.
 func (f *Follower) answered(revision int64) {
 	now := time.Now()
--- a/picture/codec.go
+++ b/picture/codec.go
@@ -20,6 +20,7 @@
 type message struct {
 	Sender  string
 	State   member.State
+	Away    bool   // Away tells that the store does not answer the sender.
 	Number  uint64 // Number rises with each message of a sender.
 	Version int64  // Version is that of the sender's configuration.
 	Changes int64  // Changes is the revision of the sender's roster.
@@ -32,7 +33,7 @@
 	b := []byte{formatVersion}
 	b = binary.AppendUvarint(b, uint64(len(m.Sender)))
 	b = append(b, m.Sender...)
-	b = append(b, byte(m.State))
+	b = append(b, byte(m.State), flag(m.Away))
 	b = binary.AppendUvarint(b, m.Number)
 	b = binary.AppendUvarint(b, uint64(max(m.Version, 0)))
 	b = binary.AppendUvarint(b, uint64(max(m.Changes, 0)))
@@ -53,6 +54,13 @@
 	return b
 }
 
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 var errMalformed = errors.New("malformed datagram")
 
 // reader reads a datagram and remembers whether it was too short.
@@ -100,6 +108,7 @@
 	}
 	m := message{Sender: string(r.bytes(r.count(maxName)))}
 	m.State = member.State(r.bytes(1)[0])
+	m.Away = r.bytes(1)[0] != 0
 	m.Number = r.number()
 	m.Version = int64(r.count(maxCount))
 	m.Changes = int64(r.count(maxCount))
--- a/picture/picture.go
+++ b/picture/picture.go
@@ -27,6 +27,8 @@
 	period      = 200 * time.Millisecond
 	maxPeers    = 12   // maxPeers bounds the instances told in one round.
 	maxDatagram = 8192 // maxDatagram bounds what is read at once.
+	watchers    = 2    // watchers is the number of instances that notice a watch which hears nothing.
+	heardLimit  = 900 * time.Millisecond
 )
 
 // heard is what came last from an instance.
@@ -34,6 +36,7 @@
 	identity string
 	number   uint64
 	state    member.State
+	away     bool
 	at       time.Time
 }
 
@@ -52,6 +55,8 @@
 	// the roster.
 	Version func() int64
 	Changes func() int64
+	// Away reports whether the store does not answer this instance.
+	Away func() bool
 	// Ahead is told of what a peer knows.
 	Ahead func(peerAddress string, version, changes int64)
 	Log   logrus.FieldLogger
@@ -105,6 +110,7 @@
 	data := encode(message{
 		Sender:  s.Self,
 		State:   s.state(),
+		Away:    s.Away(),
 		Number:  number,
 		Version: s.Version(),
 		Changes: s.Changes(),
@@ -146,6 +152,25 @@
 	return member.Starting
 }
 
+// Watchful reports whether this instance is one of the few that notice a watch
+// which hears nothing: the first by the hash of their names among those that are
+// heard and reach the store.
+func (s *Service) Watchful() bool {
+	if s.Away() {
+		return true
+	}
+	own, before := xxhash.Sum64String(s.Self), 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, h := range s.heard {
+		usable := !h.away && time.Since(h.at) < heardLimit && (h.state == member.Starting || h.state == member.Live)
+		if usable && xxhash.Sum64String(name) < own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
 // Heard returns what an instance last said of itself and how long ago. It
 // reports false if nothing was heard of it.
 func (s *Service) Heard(name string) (member.State, time.Duration, bool) {
@@ -196,7 +221,7 @@
 	h := s.heard[m.Sender]
 	late := h.identity == identity && m.Number <= h.number
 	if !late {
-		s.heard[m.Sender] = heard{identity: identity, number: m.Number, state: m.State, at: time.Now()}
+		s.heard[m.Sender] = heard{identity: identity, number: m.Number, state: m.State, away: m.Away, at: time.Now()}
 	}
 	s.mu.Unlock()
 	if late {
--- a/revision/keeper.go
+++ b/revision/keeper.go
@@ -26,7 +26,6 @@
 const (
 	objectKind    = "configuration"
 	objectName    = "current"
-	watchWait     = 30 * time.Second
 	fetchMethod   = "Configuration.Fetch"
 	fetchTimeout  = 2 * time.Second
 	relayDelay    = 500 * time.Millisecond // relayDelay is the time that the watch has before a peer is asked.
@@ -83,7 +82,6 @@
 	k.follower = &follow.Follower{
 		Platform: k.Platform,
 		Kind:     objectKind,
-		Wait:     watchWait,
 		Listed: func(l platform.Listing) {
 			for i := range l.Objects {
 				k.followed(&l.Objects[i])
--- a/roster/service.go
+++ b/roster/service.go
@@ -30,6 +30,9 @@
 	Platform *platform.Client
 	Peers    *peer.Node
 	Log      logrus.FieldLogger
+	// Watchful tells whether this instance has to notice a watch that hears
+	// nothing; may be nil.
+	Watchful func() bool
 	// Listen is told of each new roster; may be nil.
 	Listen func(*Roster)
 
@@ -52,6 +55,7 @@
 	s.follower = &follow.Follower{
 		Platform: s.Platform,
 		Kind:     platform.UpstreamKind,
+		Watchful: s.Watchful,
 		Delay:    startSpread,
 		Listed:   s.listed,
 		Changed:  s.changed,
--- a/routing/keeper.go
+++ b/routing/keeper.go
@@ -33,6 +33,9 @@
 	Peers    *peer.Node
 	Check    *invariant.Checker
 	Log      logrus.FieldLogger
+	// Watchful tells whether this instance has to notice a watch that hears
+	// nothing; may be nil.
+	Watchful func() bool
 	// Listen is told of each new table; may be nil.
 	Listen func(*route.Table)
 
@@ -54,6 +57,7 @@
 	k.follower = &follow.Follower{
 		Platform: k.Platform,
 		Kind:     platform.ConfigurationKind,
+		Watchful: k.Watchful,
 		Delay:    startSpread,
 		Listed: func(l platform.Listing) {
 			for _, o := range l.Objects {
