--- a/pick/pick.go
+++ b/pick/pick.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	rereadWeight  = 1.5                     // rereadWeight is the cost of reading a token again against waiting for one, since it delays others too.
+	rereadWeight  = 12                     // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
 	homeShare     = 0.3                     // homeShare is the part of the reading time that draws unknown parts to one upstream of the region.
 	farWeight     = 2                       // farWeight is the round trips that a request to another region costs.
 	crowdCost     = 20 * time.Millisecond   // crowdCost is the delay by a full upstream's other requests.
