Take shared parts to lie at one upstream by hash, in all regions

Change: one upstream by rendezvous hash of the last shared part costs no reading again; the reading time itself is still predicted from what is known.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	rereadWeight  = 12                     // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
-	homeShare     = 0.3                     // homeShare is the part of the reading time that draws unknown parts to one upstream of the region.
+	rereadWeight  = 12                      // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
 	farWeight     = 2                       // farWeight is the round trips that a request to another region costs.
 	crowdCost     = 20 * time.Millisecond   // crowdCost is the delay by a full upstream's other requests.
 	spread        = 2 * time.Millisecond    // spread is the random part of a cost, so that equal pictures do not herd.
@@ -90,10 +89,7 @@
 			continue
 		}
 		s := p.state(now, u)
-		c, cost := p.judge(now, u, s, a)
-		if u.ID == home {
-			cost -= homeShare * p.pool(a.Pool.Name).perToken * float64(sharedTokens(a.Prompt))
-		}
+		c, cost := p.judge(now, u, s, a, u.ID == home)
 		cost += rand.Float64() * (spread.Seconds() + spreadShare*math.Abs(cost))
 		switch {
 		case now.Before(s.bannedUntil):
@@ -111,7 +107,7 @@
 }
 
 // judge returns what speaks for an upstream, and its cost in seconds.
-func (p *Picker) judge(now time.Time, u *route.Upstream, s *state, a Ask) (Choice, float64) {
+func (p *Picker) judge(now time.Time, u *route.Upstream, s *state, a Ask, home bool) (Choice, float64) {
 	l := p.pool(a.Pool.Name)
 	peers := s.peerCounts(now)
 	c := Choice{Upstream: u, Running: s.running + peers.Running, Pending: s.pendingFor(a.Rank) + peers.Pending, PeersAge: peers.age}
@@ -122,10 +118,14 @@
 	slow := s.slowness(now)
 	if a.Pool.Engine != nil {
 		c.Missing = s.cache.missing(a.Prompt)
+		reread := c.Missing
+		if home {
+			reread = min(reread, max(a.Prompt.Tokens-sharedTokens(a.Prompt), 0))
+		}
 		read := l.perToken * slow * (float64(c.Pending) + float64(c.Missing))
 		wait += l.base*slow + read
 		c.Predicted = seconds(wait)
-		wait += (rereadWeight - 1) * l.perToken * float64(c.Missing)
+		wait += (rereadWeight - 1) * l.perToken * float64(reread)
 	} else {
 		wait += l.hold * slow
 		c.Predicted = seconds(wait)
@@ -162,8 +162,9 @@
 	return d
 }
 
-// home returns the upstream of the own region to which shared parts that nobody
-// is known to have are drawn, so that instances agree without a message.
+// home returns the upstream that is taken to hold the shared parts of a prompt,
+// by the hash of the last of them, so that instances agree without a message and
+// find the parts again after a restart.
 func (p *Picker) home(candidates []*route.Upstream, prompt *request.Prompt) string {
 	shared := prompt.Shared()
 	if len(shared) == 0 {
@@ -172,9 +173,6 @@
 	part := shared[len(shared)-1].ID
 	best, top := "", uint64(0)
 	for _, u := range candidates {
-		if p.Regions[u.Zone] != p.Regions[p.Zone] {
-			continue
-		}
 		if h := mix(xxhash.Sum64String(u.ID) ^ part); best == "" || h > top {
 			best, top = u.ID, h
 		}
