--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -255,7 +255,7 @@
 		return
 	}
 	defer conn.Close()
-	for before := ""; ; before = id {
+	for before := ""; ; {
 		for _, of := range []string{before, id} {
 			if of == "" {
 				continue
@@ -275,7 +275,7 @@
 			return
 		}
 		r.note(req, body)
-		id = req.Header.Get(idHeader)
+		before, id = id, req.Header.Get(idHeader)
 		defer r.begin(id)()
 	}
 }
