--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 	"knapweedwell/standin/fleet"
 	"knapweedwell/standin/load"
 	"knapweedwell/standin/platform"
+	"knapweedwell/standin/runner"
 	"knapweedwell/standin/service"
 )
 
@@ -43,7 +44,7 @@
 	return &ffcli.Command{
 		Name:        "standin",
 		ShortUsage:  "standin COMMAND [flags]",
-		Subcommands: []*ffcli.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand(), experimentCommand(), fleetCommand()},
+		Subcommands: []*ffcli.Command{platformCommand(), engineCommand(), serviceCommand(), runnerCommand(), loadCommand(), experimentCommand(), fleetCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
@@ -52,7 +53,7 @@
 	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
 	address := fs.String("address", "127.0.0.1:7000", "`IP:port` to listen on")
 	return &ffcli.Command{
-		Name: "platform", FlagSet: fs, ShortHelp: "run the object API and instance list",
+		Name: "platform", FlagSet: fs, ShortHelp: "run the object store",
 		Exec: func(ctx context.Context, _ []string) error {
 			return serve(ctx, *address, platform.New().Handler())
 		},
@@ -89,6 +90,18 @@
 	}
 }
 
+func runnerCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("runner", flag.ContinueOnError)
+	address := fs.String("address", "127.0.0.1:7300", "`IP:port` to listen on")
+	id := fs.String("id", "runner", "`ID` of the upstream")
+	return &ffcli.Command{
+		Name: "runner", FlagSet: fs, ShortHelp: "run an upstream of the users' platform",
+		Exec: func(ctx context.Context, _ []string) error {
+			return serve(ctx, *address, runner.New(*id).Handler())
+		},
+	}
+}
+
 func loadCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("load", flag.ContinueOnError)
 	scenario := fs.String("scenario", "", "scenario `file`")
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -144,6 +144,12 @@
 		t.keep = false
 		return broken{reason: "the stream was not taken up: " + t.resp.Status}
 	}
+	return t.whole(good)
+}
+
+// whole reads an answer that is no stream before any of it goes out.
+func (t *transfer) whole(good bool) result {
+	status := t.resp.StatusCode
 	body, err := io.ReadAll(io.LimitReader(t.resp.Body, maxHeld+1))
 	switch {
 	case err != nil:
--- a/request/failure.go
+++ b/request/failure.go
@@ -40,9 +40,13 @@
 	Findings   []Finding
 }
 
-// Error returns the type and the message.
+// Error returns the type, the message and the findings.
 func (f *Failure) Error() string {
-	return fmt.Sprintf("%s: %s", f.Type, f.Message)
+	text := fmt.Sprintf("%s: %s", f.Type, f.Message)
+	for _, d := range f.Findings {
+		text += fmt.Sprintf("; %s: %s", d.Place, d.Message)
+	}
+	return text
 }
 
 // defaultRetryAfter is the wait advised with a refusal.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -64,6 +64,7 @@
 			"ended":      ended,
 			"until":      until,
 			"send":       send,
+			"put":        put,
 			"background": background,
 			"answers":    answers,
 			"record":     record,
@@ -167,6 +168,7 @@
 
 var signals = map[string]syscall.Signal{
 	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	"HUP": syscall.SIGHUP,
 }
 
 // signal NAME SIGNAL sends a signal.
@@ -201,7 +203,9 @@
 	deadline := time.Now().Add(patience)
 	var out []byte
 	for time.Now().Before(deadline) {
-		if strings.HasPrefix(args[1], "http") {
+		if args[1] == "cat" {
+			out = []byte(ts.ReadFile(args[2]))
+		} else if strings.HasPrefix(args[1], "http") {
 			answer, _ := exchange(append([]string{http.MethodGet}, args[1:]...))
 			out = []byte(answer)
 		} else {
@@ -225,6 +229,14 @@
 	appendTo(ts, "transcript", "> "+normalize(strings.Join(args, " "))+"\n"+normalize(answer))
 }
 
+// put URL FILE puts a file and expects that it is accepted.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	answer, _ := exchange([]string{http.MethodPut, args[0], strings.TrimSpace(ts.ReadFile(args[1]))})
+	if !strings.HasPrefix(answer, "200 ") {
+		ts.Fatalf("put %s: %s", args[0], answer)
+	}
+}
+
 // background sends like send, but does not wait. The command answers collects
 // the answers.
 func background(ts *testscript.TestScript, _ bool, args []string) {
@@ -260,6 +272,10 @@
 	}
 	for _, h := range rest {
 		name, value, _ := strings.Cut(h, ":")
+		if name == "Host" {
+			req.Host = value
+			continue
+		}
 		req.Header.Set(name, value)
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * patience}
--- a/terminal/read.go
+++ b/terminal/read.go
@@ -192,11 +192,18 @@
 }
 
 func (t *Terminal) explain() *ffcli.Command {
-	return t.command("explain", "REQUEST-ID", "tell what happened to a request", nil,
+	logs := ""
+	register := func(fs *flag.FlagSet) {
+		fs.StringVar(&logs, "log", "", "read log `files`, separated by commas, in place of asking an instance; - is the standard input")
+	}
+	return t.command("explain", "[-log FILES] REQUEST-ID", "tell what happened to a request", register,
 		func(ctx context.Context, c *operator.Client, args []string) error {
 			if err := want(args, 1, "one request ID"); err != nil {
 				return err
 			}
+			if logs != "" {
+				return t.explainLogs(logs, args[0])
+			}
 			found, err := c.Explain(ctx, args[0])
 			if err != nil {
 				return err
--- a/world/cases_test.go
+++ b/world/cases_test.go
@@ -63,14 +63,14 @@
 		}
 		e := w.engines["engine-1"]
 		w.platform.Set(platform.Faults{ListLag: lag})
-		w.platform.Put("servers", "engine-1", w.announced("engine-1", "draining"))
+		w.platform.Put("servers", "engine-1", w.announced("draining"))
 		time.Sleep(lag + grace)
 		before := e.Stats().Runs
 		load()
 		if after := e.Stats().Runs; after != before {
 			t.Errorf("the leaving engine got %d requests", after-before)
 		}
-		w.platform.Put("servers", "engine-1", w.announced("engine-1", "ready"))
+		w.platform.Put("servers", "engine-1", w.announced("ready"))
 		time.Sleep(90 * time.Second)
 		load()
 		if after := e.Stats().Runs; after == before {
--- a/world/edge_cases_test.go
+++ b/world/edge_cases_test.go
@@ -33,26 +33,28 @@
 func (w *routed) checkSeen(id string, s runner.Seen) {
 	w.t.Helper()
 	h := s.Header
-	if h.Get("Authorization") != "" || h.Get("X-Knapweedwell-Hold") != "" || h.Get("Kv-Fetch") != "" {
-		w.t.Errorf("the upstream got headers that are not for it: %v", h)
-	}
-	if h.Get("X-Knapweedwell-Tenant") != "a" || h.Get("X-Knapweedwell-Expected-Instance") != id {
-		w.t.Errorf("the upstream got wrong headers: %v", h)
+	expected := map[string]string{
+		"Authorization": "", "X-Knapweedwell-Hold": "", "Kv-Fetch": "", "X-Knapweedwell-Tenant": "a", "X-Knapweedwell-Expected-Instance": id,
 	}
+	want := runner.Seen{Method: "POST"}
 	switch h.Get("X-Knapweedwell-Request-Id") {
 	case "1":
-		if s.Method != "GET" || s.Target != "/read/a%2Fb//c?x=1%20" || s.Body != "" {
-			w.t.Errorf("the upstream got %s %s", s.Method, s.Target)
-		}
+		want = runner.Seen{Method: "GET", Target: "/read/a%2Fb//c?x=1%20"}
 	case "2":
-		if s.Body != "two sacks" || h.Get("X-Other") != "kept" || h.Get("X-Knapweedwell-Request-Priority") != "" {
-			w.t.Errorf("the upstream got %q, %v", s.Body, h)
-		}
+		want.Target, want.Body = "/book/1", "two sacks"
+		expected["X-Other"], expected["X-Knapweedwell-Request-Priority"] = "kept", ""
 	case "3":
-		if h.Get("X-Knapweedwell-Request-Priority") != "0" {
-			w.t.Errorf("the organisation's rank was not passed on: %v", h)
+		want.Target = "/talk/1?events=5"
+		expected["X-Knapweedwell-Request-Priority"] = "0"
+	}
+	for name, value := range expected {
+		if h.Get(name) != value {
+			w.t.Errorf("the upstream got %s: %q, expected %q", name, h.Get(name), value)
 		}
 	}
+	if s.Method != want.Method || s.Target != want.Target || s.Body != want.Body {
+		w.t.Errorf("the upstream got %s %s %q, expected %+v", s.Method, s.Target, s.Body, want)
+	}
 }
 
 // TestUpstreamFaults brings about the faults of upstreams on each kind of route
--- a/world/edge_test.go
+++ b/world/edge_test.go
@@ -1,7 +1,6 @@
 package world
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -111,7 +110,6 @@
 	plane     *plane
 	store     *platform.Server
 	log       logrus.FieldLogger
-	lines     *lineBuffer
 	check     *invariant.Checker
 	instances []*edge.Instance
 	runners   map[string]*runner.Runner
@@ -122,35 +120,6 @@
 	services  []string // services are those that the calls route leads to.
 }
 
-// lineBuffer keeps the log of a fleet.
-type lineBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *lineBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
-// with returns the lines that contain all texts.
-func (l *lineBuffer) with(texts ...string) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []string
-next:
-	for _, line := range strings.Split(l.buf.String(), "\n") {
-		for _, text := range texts {
-			if !strings.Contains(line, text) {
-				continue next
-			}
-		}
-		out = append(out, line)
-	}
-	return out
-}
-
 // inRouted runs a case with n instances on a virtual clock.
 func inRouted(t *testing.T, n int, f func(w *routed)) {
 	t.Helper()
@@ -164,14 +133,13 @@
 
 func newRouted(t *testing.T, n int) *routed {
 	w := &routed{
-		t: t, net: newFabric(), store: platform.New(), lines: &lineBuffer{}, version: 1, keys: []string{edgeKey},
+		t: t, net: newFabric(), store: platform.New(), version: 1, keys: []string{edgeKey},
 		runners: map[string]*runner.Runner{}, hosts: map[string]string{}, services: []string{"calls"},
 	}
 	w.plane = &plane{net: w.net, conns: map[string]*packetConn{}}
 	w.check = &invariant.Checker{Report: func(name, detail string) { t.Errorf("invariant %s violated: %s", name, detail) }}
 	log := logrus.New()
-	log.SetOutput(w.lines)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(io.Discard)
 	w.log = log
 	w.serve(platformAddress, w.store.Handler())
 	w.configure()
--- a/world/world_test.go
+++ b/world/world_test.go
@@ -388,7 +388,7 @@
 	w.trace = append(w.trace, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// announced returns what an upstream says of itself in the store.
-func (w *world) announced(name, state string) map[string]any {
+// announced returns what an engine says of itself in the store.
+func (w *world) announced(state string) map[string]any {
 	return map[string]any{"service": "m", "address": "10.2.0.1:1", "zone": "North-0", "slots": 4, "state": state, "sequence": w.sent}
 }
