Give cold parts two possible upstreams; learn from a peer where parts lie after a restart

Change: while nobody is known to hold a part, the two first upstreams by hash are taken to; what is known goes first. A starting instance asks a live one.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -127,6 +127,7 @@
 		Address: i.Settings.Routes.Exchange,
 		Listen:  i.ListenPacket,
 		Members: i.Beats.Members,
+		Peers:   i.Peers,
 		Picker:  i.picker,
 		Roster:  i.Roster.Current,
 		Memory:  i.memory,
@@ -139,6 +140,7 @@
 		},
 		Log: i.Log,
 	}
+	i.Picture.Prepare()
 }
 
 // watchful reports whether this instance follows the store with short waits.
--- a/pick/cache.go
+++ b/pick/cache.go
@@ -37,6 +37,16 @@
 	return max(p.Tokens-known, 0)
 }
 
+// holds reports whether the upstream holds all parts.
+func (c *cache) holds(parts []request.Part) bool {
+	for _, part := range parts {
+		if c.parts[part.ID] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // add notes that the upstream reads a part.
 func (c *cache) add(id uint64, tokens, memory int) {
 	if c.parts == nil {
--- a/pick/lease.go
+++ b/pick/lease.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"knapweedwell/request"
@@ -170,3 +171,40 @@
 		}
 	}
 }
+
+// Remembered returns up to limit parts that are believed to lie at upstreams,
+// the least lately used of each upstream first, so that taking them in again in
+// this order gives the same picture.
+func (p *Picker) Remembered(limit int) []Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	each := limit / max(len(p.states), 1)
+	var placed []Placement
+	for id, s := range p.states {
+		var own []Placement
+		for e := s.cache.recent.Front(); e != nil && len(own) < each; e = e.Next() {
+			h := e.Value.(held)
+			own = append(own, Placement{Upstream: id, Part: h.id, Tokens: h.tokens})
+		}
+		slices.Reverse(own)
+		placed = append(placed, own...)
+	}
+	return placed
+}
+
+// Recall takes over what another instance remembers of upstreams that are not
+// known here yet.
+func (p *Picker) Recall(now time.Time, upstreams []*route.Upstream, placed []Placement, memory func(upstream string) (int, bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := map[string]*state{}
+	for _, u := range upstreams {
+		known[u.ID] = p.state(now, u)
+	}
+	for _, pl := range placed {
+		s := known[pl.Upstream]
+		if m, ok := memory(pl.Upstream); s != nil && ok {
+			s.cache.add(pl.Part, pl.Tokens, m)
+		}
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 
 const (
 	rereadWeight  = 12                      // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
+	homes         = 2                       // homes is the upstreams that are taken to hold a part which nobody is known to hold.
 	farWeight     = 2                       // farWeight is the round trips that a request to another region costs.
 	crowdCost     = 20 * time.Millisecond   // crowdCost is the delay by a full upstream's other requests.
 	spread        = 2 * time.Millisecond    // spread is the random part of a cost, so that equal pictures do not herd.
@@ -78,9 +80,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
-	home := ""
-	if a.Pool.Engine != nil {
-		home = p.home(candidates, a.Prompt)
+	var homes [homes]string
+	if a.Pool.Engine != nil && !p.held(candidates, a.Prompt) {
+		homes = findHomes(candidates, a.Prompt)
 	}
 	var best, banned Choice
 	bestCost, bannedCost := math.Inf(1), math.Inf(1)
@@ -89,7 +91,7 @@
 			continue
 		}
 		s := p.state(now, u)
-		c, cost := p.judge(now, u, s, a, u.ID == home)
+		c, cost := p.judge(now, u, s, a, slices.Contains(homes[:], u.ID))
 		cost += rand.Float64() * (spread.Seconds() + spreadShare*math.Abs(cost))
 		switch {
 		case now.Before(s.bannedUntil):
@@ -162,19 +164,40 @@
 	return d
 }
 
-// home returns the upstream that is taken to hold the shared parts of a prompt,
-// by the hash of the last of them, so that instances agree without a message and
-// find the parts again after a restart.
-func (p *Picker) home(candidates []*route.Upstream, prompt *request.Prompt) string {
+// held reports whether an upstream is known to hold the shared parts of a
+// prompt.
+func (p *Picker) held(candidates []*route.Upstream, prompt *request.Prompt) bool {
 	shared := prompt.Shared()
 	if len(shared) == 0 {
-		return ""
+		return true
 	}
+	for _, u := range candidates {
+		if s := p.states[u.ID]; s != nil && s.born == u.Born && s.cache.holds(shared) {
+			return true
+		}
+	}
+	return false
+}
+
+// findHomes returns the upstreams that are taken to hold the shared parts of a
+// prompt while nobody is known to, by the hash of the last of them. So instances
+// agree without a message and find parts again after a restart; that there are
+// two leaves room for the less busy one.
+func findHomes(candidates []*route.Upstream, prompt *request.Prompt) [homes]string {
+	shared := prompt.Shared()
 	part := shared[len(shared)-1].ID
-	best, top := "", uint64(0)
+	var best [homes]string
+	var top [homes]uint64
 	for _, u := range candidates {
-		if h := mix(xxhash.Sum64String(u.ID) ^ part); best == "" || h > top {
-			best, top = u.ID, h
+		id, h := u.ID, mix(xxhash.Sum64String(u.ID)^part)
+		for i := range best {
+			if best[i] == "" || h > top[i] {
+				best[i], id = id, best[i]
+				top[i], h = h, top[i]
+			}
+			if id == "" {
+				break
+			}
 		}
 	}
 	return best
--- a/picture/picture.go
+++ b/picture/picture.go
@@ -19,6 +19,7 @@
 	"knapweedwell/background"
 	"knapweedwell/kernel"
 	"knapweedwell/member"
+	"knapweedwell/peer"
 	"knapweedwell/pick"
 	"knapweedwell/roster"
 )
@@ -47,6 +48,7 @@
 	Listen  func(network, address string) (net.PacketConn, error)
 	// Members returns the instances that are known, this one included.
 	Members func() []member.Member
+	Peers   *peer.Node
 	Picker  *pick.Picker
 	Roster  func() *roster.Roster
 	// Memory returns the memory of an upstream's engine in tokens.
@@ -80,6 +82,7 @@
 	s.heard = map[string]heard{}
 	s.group.Every(period, func(context.Context, time.Time) { s.tell() })
 	s.group.Go(func(context.Context) { s.hear() })
+	s.group.Go(s.recall)
 	return nil
 }
 
