Let four instances follow the store and the others follow them

Change: roles by hash among the instances that reach the store (two alert, two relaxed, the others idle); rosters are passed on as deltas with marks that also count the end of a doubt; placements are told to each peer once, in turn. Ruled out: processor time (0.02 cores a node).

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -72,14 +72,14 @@
 	i := d.instance
 	var live, heard []member.Member
 	i.Beats.With(func(v *member.View) { live = v.Live() })
-	others := 0
+	others, patience := 0, i.Picture.Patience()
 	for _, m := range live {
 		if m.Name == i.Settings.Name {
 			heard = append(heard, m)
 			continue
 		}
 		state, silence, ok := i.Picture.Heard(m.Name)
-		if ok && silence < heardLimit && state == member.Live {
+		if ok && silence < patience && state == member.Live {
 			heard = append(heard, m)
 			others++
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"knapweedwell/budget"
+	"knapweedwell/follow"
 	"knapweedwell/forward"
 	"knapweedwell/heartbeat"
 	"knapweedwell/httpwire"
@@ -33,7 +34,6 @@
 	quietTime    = 600 * time.Millisecond // quietTime is how long nothing has ended before a leaving instance exits.
 	cutMargin    = 400 * time.Millisecond // cutMargin is left of the grace period for the exit.
 	stopPeriod   = 50 * time.Millisecond
-	heardLimit   = 1200 * time.Millisecond // heardLimit is the silence after which an instance is not listed.
 )
 
 // Instance is one instance. The exported fields are set before Run.
@@ -113,11 +113,11 @@
 
 func (i *Instance) buildKnowledge() {
 	i.Routing = &routing.Keeper{
-		Platform: i.store, Peers: i.Peers, Check: i.Check, Log: i.Log, Watchful: i.watchful,
+		Platform: i.store, Peers: i.Peers, Check: i.Check, Log: i.Log, Role: i.role,
 		Listen: func(*route.Table) { i.goLive() },
 	}
 	i.Roster = &roster.Service{
-		Platform: i.store, Peers: i.Peers, Log: i.Log, Watchful: i.watchful,
+		Platform: i.store, Peers: i.Peers, Log: i.Log, Role: i.role,
 		Listen: func(*roster.Roster) { i.goLive() },
 	}
 	i.Routing.Prepare()
@@ -127,12 +127,13 @@
 		Address: i.Settings.Routes.Exchange,
 		Listen:  i.ListenPacket,
 		Members: i.Beats.Members,
+		Member:  i.Beats.Member,
 		Peers:   i.Peers,
 		Picker:  i.picker,
 		Roster:  i.Roster.Current,
 		Memory:  i.memory,
 		Version: i.Routing.Version,
-		Changes: i.Roster.Revision,
+		Changes: i.Roster.Mark,
 		Away:    i.Roster.Away,
 		Ahead: func(address string, version, changes int64) {
 			i.Routing.Ahead(address, version)
@@ -143,9 +144,9 @@
 	i.Picture.Prepare()
 }
 
-// watchful reports whether this instance follows the store with short waits.
-func (i *Instance) watchful() bool {
-	return i.Picture.Watchful()
+// role returns how closely this instance follows the store.
+func (i *Instance) role() follow.Role {
+	return i.Picture.Role()
 }
 
 // memory returns the memory of an upstream's engine.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -20,27 +20,38 @@
 const (
 	longWait     = 10 * time.Second       // longWait is how long one watch waits for a change.
 	shortWait    = 700 * time.Millisecond // shortWait is that of an instance that has to notice a watch which hears nothing.
-	lookPeriod   = 200 * time.Millisecond // lookPeriod is the time between looks whether the wait must be short.
+	lookPeriod   = 200 * time.Millisecond // lookPeriod is the time between looks at the role.
 	firstBackoff = 100 * time.Millisecond // firstBackoff is the pause after the first failed call.
 	maxBackoff   = 600 * time.Millisecond // maxBackoff bounds the pause, so that the store's return is noticed at once.
 )
 
+// Role is how closely an instance follows the store.
+type Role int
+
+// The roles.
+const (
+	Idle    Role = iota // Idle makes no calls: the instance learns from its peers.
+	Relaxed             // Relaxed watches with long waits.
+	Alert               // Alert watches with short waits, so that a watch which hears nothing is noticed.
+)
+
 // Follower follows one kind. The exported fields are set before Run. The
 // functions are called one at a time.
 type Follower struct {
 	Platform *platform.Client
 	Kind     string
-	Watchful func() bool   // Watchful tells whether waits have to be short; nil means that they are long.
+	Role     func() Role   // Role tells how closely to follow; nil means Relaxed.
 	Delay    time.Duration // Delay bounds the random pause before the first call.
 	Listed   func(l platform.Listing)
 	Changed  func(c platform.Changes)
-	Lost     func(err error)          // Lost is told once when the store stops answering; may be nil.
-	Back     func(away time.Duration) // Back is told once when it answers again; may be nil.
+	Lost     func(err error) // Lost is told once when the store stops answering; may be nil.
+	Back     func()          // Back is told when it answers again, or for the first time after the instance was idle; may be nil.
 	Log      logrus.FieldLogger
 
 	mu      sync.Mutex
 	contact time.Time // contact is when the store last answered.
 	synced  int64     // synced is the revision up to which all changes are known.
+	rested  bool      // rested tells that no call was made for a while.
 	lost    time.Time // lost is when the store stopped answering; zero while it answers.
 	group   background.Group
 }
@@ -71,6 +82,11 @@
 	return f.synced
 }
 
+// Idle reports whether this instance learns from its peers only.
+func (f *Follower) Idle() bool {
+	return f.role() == Idle
+}
+
 // Away reports whether the store does not answer now.
 func (f *Follower) Away() bool {
 	f.mu.Lock()
@@ -113,6 +129,11 @@
 // once lists if nothing is known yet, and watches otherwise.
 func (f *Follower) once(ctx context.Context) error {
 	after := f.Synced()
+	if after != 0 && f.role() == Idle {
+		f.rest()
+		sleep(ctx, lookPeriod)
+		return nil
+	}
 	if after == 0 {
 		l, err := f.Platform.List(ctx, f.Kind)
 		if err != nil {
@@ -133,6 +154,14 @@
 	return nil
 }
 
+// rest notes that nothing is known of the store while no call is made.
+func (f *Follower) rest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = time.Time{}
+	f.rested = true
+}
+
 // watch waits for changes. It reports whether the wait was given up to begin one
 // that is shorter.
 func (f *Follower) watch(ctx context.Context, after int64) (c platform.Changes, again bool, err error) {
@@ -140,7 +169,7 @@
 	switch {
 	case f.Away():
 		wait = 0
-	case f.watchful():
+	case f.role() == Alert:
 		wait = shortWait
 	}
 	if wait != longWait {
@@ -149,19 +178,19 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go f.hurry(ctx, cancel)
+	go f.await(ctx, cancel)
 	c, err = f.Platform.Watch(ctx, f.Kind, after, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errHurry) {
+	if err != nil && errors.Is(context.Cause(ctx), errRole) {
 		return c, true, nil
 	}
 	return c, false, err
 }
 
-// errHurry is the cause with which a long wait is given up.
-var errHurry = errors.New("the wait has to be short")
+// errRole is the cause with which a long wait is given up.
+var errRole = errors.New("the instance follows the store in another way now")
 
-// hurry ends a long wait once waits have to be short.
-func (f *Follower) hurry(ctx context.Context, cancel context.CancelCauseFunc) {
+// await ends a long wait once the role is another.
+func (f *Follower) await(ctx context.Context, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(lookPeriod)
 	defer ticker.Stop()
 	for {
@@ -169,34 +198,36 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if f.watchful() {
-				cancel(errHurry)
+			if f.role() != Relaxed {
+				cancel(errRole)
 				return
 			}
 		}
 	}
 }
 
-func (f *Follower) watchful() bool {
-	return f.Watchful != nil && f.Watchful()
+func (f *Follower) role() Role {
+	if f.Role == nil {
+		return Relaxed
+	}
+	return f.Role()
 }
 
 // answered notes an answer and the revision that it brought.
 func (f *Follower) answered(revision int64) {
 	now := time.Now()
 	f.mu.Lock()
-	lost := f.lost
+	lost, rested := f.lost, f.rested
 	f.lost = time.Time{}
+	f.rested = false
 	f.contact = now
 	f.synced = revision
 	f.mu.Unlock()
-	if lost.IsZero() {
-		return
+	if !lost.IsZero() {
+		f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": now.Sub(lost).Milliseconds()}).Info("the store answers again")
 	}
-	away := now.Sub(lost)
-	f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": away.Milliseconds()}).Info("the store answers again")
-	if f.Back != nil {
-		f.Back(away)
+	if f.Back != nil && (rested || !lost.IsZero()) {
+		f.Back()
 	}
 }
 
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -117,6 +117,13 @@
 	return s.view.All()
 }
 
+// Member returns a member by name.
+func (s *Service) Member(name string) (member.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Get(name)
+}
+
 // Departing returns the upstreams that the platform lists as leaving.
 func (s *Service) Departing() map[string]bool {
 	s.mu.Lock()
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -21,18 +21,18 @@
 )
 
 const (
-	rereadWeight  = 12                      // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
-	homes         = 2                       // homes is the upstreams that are taken to hold a part which nobody is known to hold.
-	farWeight     = 2                       // farWeight is the round trips that a request to another region costs.
-	crowdCost     = 20 * time.Millisecond   // crowdCost is the delay by a full upstream's other requests.
-	spread        = 2 * time.Millisecond    // spread is the random part of a cost, so that equal pictures do not herd.
-	spreadShare   = 0.03                    // spreadShare is the relative random part.
-	failureCost   = 800 * time.Millisecond  // failureCost is the time that a request loses when its upstream fails.
-	memoryShare   = 0.85                    // memoryShare is the filling above which an engine may preempt.
-	firstBan      = 300 * time.Millisecond  // firstBan is how long an upstream is avoided after it could not be reached.
-	longestBan    = 4 * time.Second         // longestBan bounds that time as failures go on.
-	peerLifetime  = 1500 * time.Millisecond // peerLifetime is how long a peer's counts are used.
-	stateLifetime = 30 * time.Second        // stateLifetime is how long an unused upstream is remembered.
+	rereadWeight  = 12                     // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
+	homes         = 2                      // homes is the upstreams that are taken to hold a part which nobody is known to hold.
+	farWeight     = 2                      // farWeight is the round trips that a request to another region costs.
+	crowdCost     = 20 * time.Millisecond  // crowdCost is the delay by a full upstream's other requests.
+	spread        = 2 * time.Millisecond   // spread is the random part of a cost, so that equal pictures do not herd.
+	spreadShare   = 0.03                   // spreadShare is the relative random part.
+	failureCost   = 800 * time.Millisecond // failureCost is the time that a request loses when its upstream fails.
+	memoryShare   = 0.85                   // memoryShare is the filling above which an engine may preempt.
+	firstBan      = 300 * time.Millisecond // firstBan is how long an upstream is avoided after it could not be reached.
+	longestBan    = 4 * time.Second        // longestBan bounds that time as failures go on.
+	peerLifetime  = 2 * time.Second        // peerLifetime is how long a peer's counts are used.
+	stateLifetime = 30 * time.Second       // stateLifetime is how long an unused upstream is remembered.
 )
 
 // Ask is what is known of a request that needs an upstream.
--- a/picture/picture.go
+++ b/picture/picture.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"knapweedwell/background"
+	"knapweedwell/follow"
 	"knapweedwell/kernel"
 	"knapweedwell/member"
 	"knapweedwell/peer"
@@ -26,10 +26,13 @@
 
 const (
 	period      = 200 * time.Millisecond
-	maxPeers    = 12   // maxPeers bounds the instances told in one round.
-	maxDatagram = 8192 // maxDatagram bounds what is read at once.
-	watchers    = 2    // watchers is the number of instances that notice a watch which hears nothing.
-	heardLimit  = 900 * time.Millisecond
+	maxPeers    = 12                     // maxPeers bounds the instances told in one round.
+	maxKept     = 512                    // maxKept bounds the placements that are held for peers.
+	maxTold     = 60                     // maxTold bounds the placements in one datagram.
+	maxDatagram = 8192                   // maxDatagram bounds what is read at once.
+	alert       = 2                      // alert is the number of instances that notice a watch which hears nothing.
+	followers   = 4                      // followers is the number of instances that follow the store at all.
+	silence     = 900 * time.Millisecond // silence is how long nothing may be heard of an instance that tells all others in each round.
 )
 
 // heard is what came last from an instance.
@@ -48,9 +51,11 @@
 	Listen  func(network, address string) (net.PacketConn, error)
 	// Members returns the instances that are known, this one included.
 	Members func() []member.Member
-	Peers   *peer.Node
-	Picker  *pick.Picker
-	Roster  func() *roster.Roster
+	// Member returns one of them by name.
+	Member func(name string) (member.Member, bool)
+	Peers  *peer.Node
+	Picker *pick.Picker
+	Roster func() *roster.Roster
 	// Memory returns the memory of an upstream's engine in tokens.
 	Memory func(upstream string) (int, bool)
 	// Version and Changes return what is known here of the configuration and of
@@ -67,6 +72,10 @@
 	mu       sync.Mutex
 	heard    map[string]heard // heard holds what came last, by the sender's name.
 	number   uint64
+	turn     int              // turn is where the next round begins among the peers.
+	placed   []pick.Placement // placed holds the latest placements.
+	dropped  int              // dropped counts the placements that are no longer held.
+	told     map[string]int   // told counts the placements that each peer was told or missed.
 	sent     atomic.Int64
 	received atomic.Int64
 	group    background.Group
@@ -80,6 +89,7 @@
 	}
 	s.conn = conn
 	s.heard = map[string]heard{}
+	s.told = map[string]int{}
 	s.group.Every(period, func(context.Context, time.Time) { s.tell() })
 	s.group.Go(func(context.Context) { s.hear() })
 	s.group.Go(s.recall)
@@ -99,18 +109,15 @@
 	return s.sent.Load(), s.received.Load()
 }
 
-// tell sends one report to the others, in a large fleet to some of them.
+// tell sends one report to the others, in a large fleet to some of them in turn.
 func (s *Service) tell() {
-	peers := s.peers()
-	if len(peers) == 0 {
-		return
-	}
+	reports, placed := s.Picker.Reports()
 	s.mu.Lock()
 	s.number++
 	number := s.number
+	s.keep(placed)
 	s.mu.Unlock()
-	reports, placed := s.Picker.Reports()
-	data := encode(message{
+	m := message{
 		Sender:  s.Self,
 		State:   s.state(),
 		Away:    s.Away(),
@@ -118,19 +125,41 @@
 		Version: s.Version(),
 		Changes: s.Changes(),
 		Reports: reports,
-		Placed:  placed,
-	})
-	for _, m := range peers {
-		to, err := net.ResolveUDPAddr("udp", m.Exchange)
+	}
+	for _, p := range s.peers() {
+		to, err := net.ResolveUDPAddr("udp", p.Exchange)
 		if err != nil {
+			s.Log.WithFields(logrus.Fields{"Peer": p.Name, "Error": err.Error()}).Warn("address of a peer cannot be used")
 			continue
 		}
-		if _, err := s.conn.WriteTo(data, to); err == nil {
+		m.Placed = s.news(p.Name)
+		if _, err := s.conn.WriteTo(encode(m), to); err == nil {
 			s.sent.Add(1)
 		}
 	}
 }
 
+// keep adds placements to those that peers are told. The lock is held.
+func (s *Service) keep(placed []pick.Placement) {
+	s.placed = append(s.placed, placed...)
+	if over := len(s.placed) - maxKept; over > 0 {
+		s.placed = append([]pick.Placement(nil), s.placed[over:]...)
+		s.dropped += over
+	}
+}
+
+// news returns the placements that a peer was not told yet.
+func (s *Service) news(peer string) []pick.Placement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := max(s.told[peer]-s.dropped, 0)
+	placed := s.placed[from:]
+	placed = placed[:min(len(placed), maxTold)]
+	s.told[peer] = s.dropped + from + len(placed)
+	return placed
+}
+
+// peers returns the instances to be told in this round.
 func (s *Service) peers() []member.Member {
 	var peers []member.Member
 	for _, m := range s.Members() {
@@ -138,40 +167,50 @@
 			peers = append(peers, m)
 		}
 	}
-	if len(peers) > maxPeers {
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		peers = peers[:maxPeers]
+	if len(peers) <= maxPeers {
+		return peers
 	}
-	return peers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.turn % len(peers)
+	s.turn = first + maxPeers
+	return append(peers, peers...)[first : first+maxPeers]
 }
 
 // state returns what this instance says of itself.
 func (s *Service) state() member.State {
-	for _, m := range s.Members() {
-		if m.Name == s.Self {
-			return m.State
-		}
-	}
-	return member.Starting
+	m, _ := s.Member(s.Self)
+	return m.State
 }
 
-// Watchful reports whether this instance is one of the few that notice a watch
-// which hears nothing: the first by the hash of their names among those that are
-// heard and reach the store.
-func (s *Service) Watchful() bool {
-	if s.Away() {
-		return true
-	}
-	own, before := xxhash.Sum64String(s.Self), 0
+// Role returns how closely this instance follows the store. A few do, the first
+// by the hash of their names among those that reach the store; the others learn
+// from them. One that does not reach it goes on trying only if it is among the
+// first of all.
+func (s *Service) Role() follow.Role {
+	own, before, patience, away := xxhash.Sum64String(s.Self), 0, s.Patience(), s.Away()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, h := range s.heard {
-		usable := !h.away && time.Since(h.at) < heardLimit && (h.state == member.Starting || h.state == member.Live)
-		if usable && xxhash.Sum64String(name) < own {
+		usable := time.Since(h.at) < patience && (h.state == member.Starting || h.state == member.Live)
+		if usable && (away || !h.away) && xxhash.Sum64String(name) < own {
 			before++
 		}
 	}
-	return before < watchers
+	switch {
+	case before < alert, away && before < followers:
+		return follow.Alert
+	case before < followers:
+		return follow.Relaxed
+	}
+	return follow.Idle
+}
+
+// Patience returns how long nothing may be heard of an instance until it is taken
+// not to run: longer where a round tells only a part of the others.
+func (s *Service) Patience() time.Duration {
+	rounds := (len(s.Members()) - 2 + maxPeers) / maxPeers
+	return silence + time.Duration(max(rounds-1, 0))*period*3/2
 }
 
 // Heard returns what an instance last said of itself and how long ago. It
@@ -210,13 +249,8 @@
 
 // take takes in a report of a known instance unless a later one came before.
 func (s *Service) take(m message) {
-	var from member.Member
-	for _, known := range s.Members() {
-		if known.Name == m.Sender {
-			from = known
-		}
-	}
-	if from.Name == "" || from.Name == s.Self {
+	from, known := s.Member(m.Sender)
+	if !known || from.Name == s.Self {
 		return
 	}
 	identity := from.Identity()
--- a/roster/book.go
+++ b/roster/book.go
@@ -10,12 +10,27 @@
 // was away may be missing before its upstream is taken as gone.
 const DoubtTime = 2 * time.Second
 
+const (
+	// localBits is the bits of a mark that count the changes between two revisions
+	// of the store, such as the end of a doubt.
+	localBits = 8
+	maxLog    = 512 // maxLog bounds the changes that are kept for peers.
+)
+
 // book is the list as it changes. It is a pure function of its calls.
 type book struct {
-	entries  map[string]*route.Upstream
-	missing  map[string]bool // missing holds the entries that are used although the store does not show them.
-	revision int64
-	doubt    time.Time // doubt is until when missing entries are used.
+	entries map[string]*route.Upstream
+	missing map[string]bool // missing holds the entries that are used although the store does not show them.
+	mark    int64           // mark rises with each change: the store's revision, and a count of local changes.
+	doubt   time.Time       // doubt is until when missing entries are used.
+	log     []change        // log holds the latest changes, the oldest first.
+	since   int64           // since is the mark after which the log is whole.
+}
+
+// change is one entry that changed.
+type change struct {
+	mark int64
+	id   string
 }
 
 func newBook() *book {
@@ -29,6 +44,12 @@
 
 // list takes in a whole list. It reports whether anything changed.
 func (b *book) list(now time.Time, revision int64, entries []*route.Upstream) bool {
+	return b.advance(revision, b.compare(now, entries))
+}
+
+// compare makes the entries those of a whole list. It reports whether anything
+// changed.
+func (b *book) compare(now time.Time, entries []*route.Upstream) bool {
 	shown := map[string]bool{}
 	changed := false
 	for _, e := range entries {
@@ -40,12 +61,77 @@
 			changed = b.remove(now, id) || changed
 		}
 	}
+	return changed
+}
+
+// adopt takes in what a peer knows. It reports whether that is newer.
+func (b *book) adopt(now time.Time, f fetched) bool {
+	if f.Mark <= b.mark {
+		return false
+	}
+	entries := make([]*route.Upstream, len(f.Entries))
+	for i := range f.Entries {
+		entries[i] = &f.Entries[i]
+	}
+	if f.Whole {
+		b.compare(now, entries)
+	}
+	for _, e := range entries {
+		b.put(e)
+	}
+	for _, id := range f.Removed {
+		b.remove(now, id)
+	}
+	b.stamp(f.Mark)
+	return true
+}
+
+// advance gives the changes since the last call a mark, if there are any.
+func (b *book) advance(revision int64, changed bool) bool {
 	if changed {
-		b.revision = max(b.revision, revision)
+		b.stamp(max(revision<<localBits, b.mark+1))
 	}
 	return changed
 }
 
+// stamp gives the changes since the last call the mark.
+func (b *book) stamp(mark int64) {
+	b.mark = mark
+	for i := len(b.log) - 1; i >= 0 && b.log[i].mark == 0; i-- {
+		b.log[i].mark = mark
+	}
+	if over := len(b.log) - maxLog; over > 0 {
+		b.since = b.log[over-1].mark
+		b.log = append([]change(nil), b.log[over:]...)
+	}
+}
+
+// note adds a change to the log. Its mark is set by advance.
+func (b *book) note(id string) {
+	b.log = append(b.log, change{id: id})
+}
+
+// after returns the entries that changed after a mark and the IDs of those that
+// were removed, or false if the log does not reach back so far.
+func (b *book) after(mark int64) (entries []route.Upstream, removed []string, ok bool) {
+	if mark < b.since || mark == 0 {
+		return nil, nil, false
+	}
+	seen := map[string]bool{}
+	for _, c := range b.log {
+		if c.mark <= mark || seen[c.id] {
+			continue
+		}
+		seen[c.id] = true
+		if e := b.entries[c.id]; e != nil {
+			entries = append(entries, *e)
+		} else {
+			removed = append(removed, c.id)
+		}
+	}
+	return entries, removed, true
+}
+
 // put takes in an entry. It reports whether anything changed.
 func (b *book) put(e *route.Upstream) bool {
 	delete(b.missing, e.ID)
@@ -54,6 +140,7 @@
 		return false
 	}
 	b.entries[e.ID] = e
+	b.note(e.ID)
 	return true
 }
 
@@ -70,6 +157,7 @@
 	}
 	delete(b.entries, id)
 	delete(b.missing, id)
+	b.note(id)
 	return true
 }
 
@@ -80,9 +168,10 @@
 	}
 	for id := range b.missing {
 		delete(b.entries, id)
+		b.note(id)
 	}
 	b.missing = map[string]bool{}
-	return true
+	return b.advance(0, true)
 }
 
 // publish returns the list as it is now.
@@ -91,5 +180,5 @@
 	for id, e := range b.entries {
 		entries[id] = e
 	}
-	return newRoster(b.revision, entries)
+	return newRoster(b.mark, entries)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,15 +11,15 @@
 
 // Roster is the list at one moment. It is not changed once it is published.
 type Roster struct {
-	Revision int64 // Revision is that of the newest change in it.
-	Entries  map[string]*route.Upstream
+	Mark    int64 // Mark is that of the newest change in it.
+	Entries map[string]*route.Upstream
 
 	pools map[string][]*route.Upstream
 }
 
 // newRoster returns a roster of the entries.
-func newRoster(revision int64, entries map[string]*route.Upstream) *Roster {
-	r := &Roster{Revision: revision, Entries: entries, pools: map[string][]*route.Upstream{}}
+func newRoster(mark int64, entries map[string]*route.Upstream) *Roster {
+	r := &Roster{Mark: mark, Entries: entries, pools: map[string][]*route.Upstream{}}
 	for _, e := range entries {
 		if !e.Leaving {
 			r.pools[e.Pool] = append(r.pools[e.Pool], e)
--- a/roster/service.go
+++ b/roster/service.go
@@ -30,9 +30,8 @@
 	Platform *platform.Client
 	Peers    *peer.Node
 	Log      logrus.FieldLogger
-	// Watchful tells whether this instance has to notice a watch that hears
-	// nothing; may be nil.
-	Watchful func() bool
+	// Role tells how closely this instance follows the store; may be nil.
+	Role func() follow.Role
 	// Listen is told of each new roster; may be nil.
 	Listen func(*Roster)
 
@@ -55,7 +54,7 @@
 	s.follower = &follow.Follower{
 		Platform: s.Platform,
 		Kind:     platform.UpstreamKind,
-		Watchful: s.Watchful,
+		Role:     s.Role,
 		Delay:    startSpread,
 		Listed:   s.listed,
 		Changed:  s.changed,
@@ -80,10 +79,10 @@
 	return s.current.Load()
 }
 
-// Revision returns the revision of the newest change known.
-func (s *Service) Revision() int64 {
+// Mark returns the mark of the newest change known.
+func (s *Service) Mark() int64 {
 	if r := s.Current(); r != nil {
-		return r.Revision
+		return r.Mark
 	}
 	return 0
 }
@@ -103,13 +102,13 @@
 	r := s.book.publish()
 	s.current.Store(r)
 	s.mu.Unlock()
-	s.Log.WithFields(logrus.Fields{"Revision": r.Revision, "Upstreams": len(r.Entries), "Leaving": r.Leaving()}).Info("roster changed")
+	s.Log.WithFields(logrus.Fields{"Mark": r.Mark, "Upstreams": len(r.Entries), "Leaving": r.Leaving()}).Info("roster changed")
 	if s.Listen != nil {
 		s.Listen(r)
 	}
 }
 
-func (s *Service) back(time.Duration) {
+func (s *Service) back() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.back(time.Now())
@@ -136,10 +135,7 @@
 			}
 			changed = b.put(e) || changed
 		}
-		if changed {
-			b.revision = max(b.revision, c.Revision)
-		}
-		return changed
+		return b.advance(c.Revision, changed)
 	})
 }
 
@@ -153,70 +149,76 @@
 	return e
 }
 
-// Ahead fetches the roster from a peer that knows a newer change, unless the
-// watch brings it first.
-func (s *Service) Ahead(address string, revision int64) {
+// Ahead fetches the changes from a peer that knows newer ones, unless the watch
+// brings them first.
+func (s *Service) Ahead(address string, mark int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fetching || !s.behind(revision) {
+	if s.fetching || !s.behind(mark) {
 		return
 	}
 	s.fetching = true
-	s.group.Go(func(ctx context.Context) { s.fetch(ctx, address, revision) })
+	s.group.Go(func(ctx context.Context) { s.fetch(ctx, address, mark) })
+}
+
+// behind reports whether a change with the mark is not known here.
+func (s *Service) behind(mark int64) bool {
+	return mark > s.Mark() && (mark>>localBits > s.follower.Synced() || s.follower.Idle())
 }
 
-// behind reports whether a change at the revision is not known here.
-func (s *Service) behind(revision int64) bool {
-	return revision > s.Revision() && revision > s.follower.Synced()
+// asked is what an instance asks for: the changes after a mark.
+type asked struct {
+	After int64
 }
 
 // fetched is a peer's answer to a fetch.
 type fetched struct {
-	Revision int64
-	Entries  []route.Upstream
+	Mark    int64
+	Whole   bool // Whole tells that Entries are all there are.
+	Entries []route.Upstream
+	Removed []string
 }
 
-func (s *Service) fetch(ctx context.Context, address string, revision int64) {
+func (s *Service) fetch(ctx context.Context, address string, mark int64) {
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.fetching = false
 	}()
-	if s.Current() != nil && !s.Away() {
+	if s.Current() != nil && !s.Away() && !s.follower.Idle() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(relayDelay):
 		}
 	}
-	if !s.behind(revision) {
+	if !s.behind(mark) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var f fetched
-	if err := s.Peers.Call(ctx, address, fetchMethod, nil, &f); err != nil {
+	if err := s.Peers.Call(ctx, address, fetchMethod, asked{After: s.Mark()}, &f); err != nil {
 		s.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("roster was not fetched from a peer")
 		return
 	}
-	s.update(func(b *book) bool {
-		if f.Revision <= b.revision {
-			return false
-		}
-		entries := make([]*route.Upstream, len(f.Entries))
-		for i := range f.Entries {
-			entries[i] = &f.Entries[i]
-		}
-		return b.list(time.Now(), f.Revision, entries)
-	})
+	s.update(func(b *book) bool { return b.adopt(time.Now(), f) })
 }
 
-func (s *Service) serveFetch(context.Context, string, json.RawMessage) (any, error) {
-	r := s.Current()
-	if r == nil {
-		return fetched{}, nil
+func (s *Service) serveFetch(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var a asked
+	if err := json.Unmarshal(params, &a); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := fetched{Mark: s.book.mark}
+	entries, removed, ok := s.book.after(a.After)
+	if ok {
+		f.Entries, f.Removed = entries, removed
+		return f, nil
 	}
-	f := fetched{Revision: r.Revision}
-	for _, e := range r.Entries {
+	f.Whole = true
+	for _, e := range s.book.entries {
 		f.Entries = append(f.Entries, *e)
 	}
 	return f, nil
--- a/routing/keeper.go
+++ b/routing/keeper.go
@@ -33,9 +33,8 @@
 	Peers    *peer.Node
 	Check    *invariant.Checker
 	Log      logrus.FieldLogger
-	// Watchful tells whether this instance has to notice a watch that hears
-	// nothing; may be nil.
-	Watchful func() bool
+	// Role tells how closely this instance follows the store; may be nil.
+	Role func() follow.Role
 	// Listen is told of each new table; may be nil.
 	Listen func(*route.Table)
 
@@ -57,7 +56,7 @@
 	k.follower = &follow.Follower{
 		Platform: k.Platform,
 		Kind:     platform.ConfigurationKind,
-		Watchful: k.Watchful,
+		Role:     k.Role,
 		Delay:    startSpread,
 		Listed: func(l platform.Listing) {
 			for _, o := range l.Objects {
@@ -152,7 +151,7 @@
 		defer k.mu.Unlock()
 		k.fetching = false
 	}()
-	if k.Current() != nil && !k.follower.Away() {
+	if k.Current() != nil && !k.follower.Away() && !k.follower.Idle() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(relayDelay):
