Leave an upstream that is silent

Ruled out: the retry budget (never spent in the log), the store (configuration and roster were current within 0.2 s). Change: an upstream that has sent nothing while first tokens are overdue costs as much as one that fails; a request that may run again goes on elsewhere, also a resumable stream whose next event is overdue. Tests: TestSilentUpstream, TestSilentForBookings, seen to fail without.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -130,6 +130,12 @@
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
 }
 
+// mayRepeatOnce reports whether a request may run again after the run that
+// begins now.
+func (x *exchange) mayRepeatOnce() bool {
+	return x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts
+}
+
 // giveUp ends the request: with the failure that an upstream answered, or with
 // one that tells the truth about whether it ran.
 func (x *exchange) giveUp(format string, args ...any) *request.Failure {
@@ -178,8 +184,10 @@
 		"request %s may run once only and is sent after %d runs", x.head.ID, x.runs)
 	stop := context.AfterFunc(ctx, conn.Interrupt)
 	t := &transfer{x: x, ctx: ctx, conn: conn, lease: lease}
+	unwatch := t.watch()
 	res := t.exchange(x.outgoing(u))
-	if !stop() {
+	unwatch()
+	if !stop() || t.silent.Load() {
 		t.keep = false
 	}
 	t.finish(res)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -34,7 +34,9 @@
 		pending = append(pending, buf[:n]...)
 		whole := endOfEvents(pending)
 		if whole > 0 {
-			t.lease.First(time.Now())
+			now := time.Now()
+			t.lease.First(now)
+			t.lease.Heard(now)
 			if werr := x.events(t, pending[:whole]); werr != nil {
 				t.keep = false
 				x.gone = true
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,10 @@
 	maxStrays  = 3       // maxStrays bounds the answers to other requests that are read past.
 	maxHeld    = 2 << 20 // maxHeld is the largest answer that is held whole before it goes out.
 	streamRead = 4 << 10
+
+	silentGaps      = 4                      // silentGaps is how many times the longest pause between events may pass.
+	shortestSilence = time.Second            // shortestSilence is the least silence between events after which a stream goes on elsewhere.
+	silencePeriod   = 100 * time.Millisecond // silencePeriod is the time between looks at the silence.
 )
 
 // result is how one send ended.
@@ -71,6 +76,35 @@
 	lease *pick.Lease
 	resp  *http.Response
 	keep  bool // keep tells that the connection may be used again.
+
+	silent atomic.Bool // silent tells that the upstream was given up for its silence.
+}
+
+// watch gives the upstream up once it is silent, if the request may run again.
+// The returned function ends that.
+func (t *transfer) watch() func() {
+	if !t.x.mayRepeatOnce() {
+		return func() {}
+	}
+	gap := max(silentGaps*t.x.route.GapAim, shortestSilence)
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(silencePeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				if t.lease.Silent(now, gap) {
+					t.silent.Store(true)
+					t.conn.Interrupt()
+					return
+				}
+			}
+		}
+	}()
+	return func() { close(done) }
 }
 
 // exchange sends the request and relays the answer.
@@ -224,6 +258,9 @@
 	case unreachable:
 		return pick.Unreachable
 	case broken:
+		if t.silent.Load() {
+			return pick.Unreachable
+		}
 		if errors.Is(t.ctx.Err(), context.Canceled) || t.x.gone {
 			return pick.Left
 		}
--- a/pick/lease.go
+++ b/pick/lease.go
@@ -21,6 +21,35 @@
 	started bool // started tells that the first token came.
 }
 
+const (
+	overdueFactor = 3                      // overdueFactor is how many times the predicted wait may pass before a request is overdue.
+	overdueMargin = 400 * time.Millisecond // overdueMargin is added to that.
+)
+
+// overdue reports whether the first token should have come long ago.
+func (l *Lease) overdue(now time.Time) bool {
+	return !l.started && now.Sub(l.begun) > overdueFactor*l.choice.Predicted+overdueMargin
+}
+
+// Silent reports whether the upstream is likely not to run or not to be reached:
+// the first token is overdue and nothing was heard of the upstream since the
+// request was sent, or nothing for the time in which an event should have come.
+func (l *Lease) Silent(now time.Time, gap time.Duration) bool {
+	l.picker.mu.Lock()
+	defer l.picker.mu.Unlock()
+	if l.started {
+		return now.Sub(l.state.heard) > gap
+	}
+	return l.overdue(now) && l.state.heard.Before(l.begun)
+}
+
+// Heard notes that the upstream sent something.
+func (l *Lease) Heard(now time.Time) {
+	l.picker.mu.Lock()
+	defer l.picker.mu.Unlock()
+	l.state.heard = now
+}
+
 // Placement tells that an upstream reads a part.
 type Placement struct {
 	Upstream string
@@ -37,6 +66,7 @@
 	s := p.state(now, c.Upstream)
 	l := &Lease{picker: p, pool: a.Pool, state: s, choice: c, prompt: a.Prompt, rank: min(max(a.Rank, 0), maxRank-1), begun: now}
 	s.running++
+	s.waiting[l] = true
 	if a.Pool.Engine == nil {
 		return l
 	}
@@ -68,6 +98,8 @@
 		return
 	}
 	l.started = true
+	l.state.heard = now
+	delete(l.state.waiting, l)
 	l.state.cleared()
 	took := now.Sub(l.begun).Seconds() - l.picker.distance(l.choice.Upstream.Zone)
 	le := l.picker.pool(l.pool.Name)
@@ -99,6 +131,7 @@
 	defer l.picker.mu.Unlock()
 	s := l.state
 	s.running--
+	delete(s.waiting, l)
 	s.tokens -= l.tokens
 	if !l.started && l.pool.Engine != nil {
 		s.pending[l.rank] -= l.choice.Missing
@@ -107,6 +140,7 @@
 	took := now.Sub(l.begun).Seconds()
 	switch o {
 	case Served:
+		s.heard = now
 		s.observeOutcome(now, false)
 		s.cleared()
 		le.ended(took)
@@ -114,6 +148,7 @@
 			s.observeSlowness(now, (took+0.01)/(le.hold+0.01))
 		}
 	case Rejected:
+		s.heard = now
 		s.headerRunning, s.headerWaiting, s.headerAt = max(l.choice.Upstream.Slots, 1), 1, now
 	case Failed:
 		s.observeOutcome(now, true)
--- a/world/edge_cases_test.go
+++ b/world/edge_cases_test.go
@@ -327,3 +327,57 @@
 		}
 	}
 }
+
+// TestSilentUpstream lets one upstream of each pool fall silent: requests that
+// may run again are answered by others, and few pay for finding out.
+func TestSilentUpstream(t *testing.T) {
+	inRouted(t, 1, func(w *routed) {
+		for n := range 20 {
+			w.ask(ask{path: "/read/1", id: "warm" + number(n)})
+		}
+		w.runners["calls-1"].Set(runner.Faults{Silent: true})
+		w.runners["model-1"].Set(runner.Faults{Silent: true})
+		slow := 0
+		for n := range 60 {
+			begun := time.Now()
+			w.expect(w.ask(ask{path: "/read/1", id: "r" + number(n)}), 200, "")
+			w.expect(w.ask(ask{path: "/talk/1?events=3", id: "s" + number(n)}), 200, events("s"+number(n), 3))
+			if time.Since(begun) > 500*time.Millisecond {
+				slow++
+			}
+		}
+		if slow > 4 {
+			t.Errorf("%d of 60 pairs of requests waited for the silent upstreams", slow)
+		}
+	})
+}
+
+// TestSilentForBookings sends bookings, which may not move, while an upstream is
+// silent: once some are overdue there, new ones go elsewhere.
+func TestSilentForBookings(t *testing.T) {
+	inRouted(t, 1, func(w *routed) {
+		for n := range 20 {
+			w.ask(ask{path: "/book/1", id: "warm" + number(n)})
+		}
+		w.runners["calls-1"].Set(runner.Faults{Silent: true})
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		lost := 0
+		for n := range 80 {
+			time.Sleep(50 * time.Millisecond)
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				if a := w.ask(ask{path: "/book/1", id: "b" + number(n)}); a.status != 200 {
+					mu.Lock()
+					defer mu.Unlock()
+					lost++
+				}
+			}()
+		}
+		wait.Wait()
+		if lost == 0 || lost > 8 {
+			t.Errorf("%d of 80 bookings were lost at the silent upstream, expected 1 to 8", lost)
+		}
+	})
+}
