--- a/pick/lease.go
+++ b/pick/lease.go
@@ -66,7 +66,6 @@
 	s := p.state(now, c.Upstream)
 	l := &Lease{picker: p, pool: a.Pool, state: s, choice: c, prompt: a.Prompt, rank: min(max(a.Rank, 0), maxRank-1), begun: now}
 	s.running++
-	s.waiting[l] = true
 	if a.Pool.Engine == nil {
 		return l
 	}
@@ -99,7 +98,6 @@
 	}
 	l.started = true
 	l.state.heard = now
-	delete(l.state.waiting, l)
 	l.state.cleared()
 	took := now.Sub(l.begun).Seconds() - l.picker.distance(l.choice.Upstream.Zone)
 	le := l.picker.pool(l.pool.Name)
@@ -131,7 +129,6 @@
 	defer l.picker.mu.Unlock()
 	s := l.state
 	s.running--
-	delete(s.waiting, l)
 	s.tokens -= l.tokens
 	if !l.started && l.pool.Engine != nil {
 		s.pending[l.rank] -= l.choice.Missing
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -145,7 +145,7 @@
 			wait += l.hold * (need - memoryShare) * 4
 		}
 	}
-	return c, wait + failureCost.Seconds()*(s.failing(now)+float64(s.overdue(now)))
+	return c, wait + failureCost.Seconds()*s.failing(now)
 }
 
 func seconds(s float64) time.Duration {
--- a/pick/state.go
+++ b/pick/state.go
@@ -11,8 +11,7 @@
 	failHalfLife  = 2 * time.Second        // failHalfLife is how fast an upstream's failures are forgotten.
 	slowStep      = 0.2                    // slowStep is the weight of one observation of slowness.
 	failStep      = 0.25                   // failStep is the weight of one outcome.
-	maxOverdue    = 3
-	slowest       = 12 // slowest bounds the slowness.
+	slowest       = 12                     // slowest bounds the slowness.
 	maxRank       = 10
 	lowerRankWork = 0.3 // lowerRankWork is the share of less urgent work that still delays a request.
 )
@@ -26,8 +25,7 @@
 	tokens  int          // tokens counts the tokens of those requests.
 	pending [maxRank]int // pending counts the tokens still to be read, by rank.
 	peers   map[string]Counts
-	waiting map[*Lease]bool // waiting holds the requests without a first token.
-	heard   time.Time       // heard is when the upstream last sent something.
+	heard   time.Time // heard is when the upstream last sent something.
 
 	headerRunning, headerWaiting int
 	headerAt                     time.Time
@@ -41,7 +39,7 @@
 }
 
 func newState(born int64) *state {
-	return &state{born: born, peers: map[string]Counts{}, waiting: map[*Lease]bool{}}
+	return &state{born: born, peers: map[string]Counts{}}
 }
 
 // Counts are what one instance knows of the requests that it has at an
@@ -86,21 +84,6 @@
 	return int(n)
 }
 
-// overdue returns how many requests should have had their first token long ago,
-// at most maxOverdue, and none if the upstream sent something lately.
-func (s *state) overdue(now time.Time) int {
-	n := 0
-	if now.Sub(s.heard) < overdueMargin {
-		return 0
-	}
-	for l := range s.waiting {
-		if l.overdue(now) {
-			n++
-		}
-	}
-	return min(n, maxOverdue)
-}
-
 func (s *state) loadFresh(now time.Time) bool {
 	return now.Sub(s.headerAt) < loadLifetime
 }
