Advise a longer wait while the store is out and nothing is known

Ruled out: peers (all were restarted). Change: an instance whose store does not answer advises 2.5 s. Test: TestStartInOutage checks the advice.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -168,6 +168,7 @@
 		Address: i.Settings.Caller,
 		Table:   i.Routing.Current,
 		Roster:  i.Roster.Current,
+		Away:    i.Roster.Away,
 		Picker:  i.picker,
 		Links:   i.links,
 		Budget:  &budget.Budget{Ratio: r.RetryRatio, Window: r.RetryWindow, Slack: r.RetrySlack, Instances: i.instances},
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -18,12 +18,13 @@
 )
 
 const (
-	maxRejections  = 3                      // maxRejections bounds the upstreams that may refuse one request.
-	maxUnreachable = 4                      // maxUnreachable bounds the connections that may fail for one request.
-	startWait      = 300 * time.Millisecond // startWait is the advice of an instance that has just started.
-	leavingWait    = 20 * time.Millisecond  // leavingWait is the advice of an instance that leaves; another one serves at once.
-	fullWait       = 250 * time.Millisecond // fullWait is the advice when all upstreams are full.
-	answerMargin   = 15 * time.Millisecond  // answerMargin is left for an upstream's own answer at its deadline.
+	maxRejections  = 3                       // maxRejections bounds the upstreams that may refuse one request.
+	maxUnreachable = 4                       // maxUnreachable bounds the connections that may fail for one request.
+	startWait      = 300 * time.Millisecond  // startWait is the advice of an instance that has just started.
+	outageWait     = 2500 * time.Millisecond // outageWait is the advice of one that waits for the store's return.
+	leavingWait    = 20 * time.Millisecond   // leavingWait is the advice of an instance that leaves; another one serves at once.
+	fullWait       = 250 * time.Millisecond  // fullWait is the advice when all upstreams are full.
+	answerMargin   = 15 * time.Millisecond   // answerMargin is left for an upstream's own answer at its deadline.
 )
 
 // exchange is one request under way.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,7 @@
 	Address string
 	Table   func() *route.Table
 	Roster  func() *roster.Roster
+	Away    func() bool // Away reports whether the store does not answer.
 	Picker  *pick.Picker
 	Links   *httpwire.Pool
 	Budget  *budget.Budget
@@ -124,7 +125,11 @@
 func (x *exchange) admit() *request.Failure {
 	x.table = x.s.Table()
 	if x.table == nil || x.s.Roster() == nil {
-		return request.Unavailable("this instance has no configuration yet").After(startWait)
+		wait := startWait
+		if x.s.Away() {
+			wait = outageWait
+		}
+		return request.Unavailable("this instance has no configuration yet").After(wait)
 	}
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	x.route = x.table.Match(x.r.Host, path)
--- a/world/edge_cases_test.go
+++ b/world/edge_cases_test.go
@@ -256,6 +256,9 @@
 		time.Sleep(time.Second)
 		a := w.ask(ask{instance: 0, path: "/book/1", id: "b"})
 		w.expect(a, 503, "")
+		if got := a.header.Get("Retry-After"); got != "2.500" {
+			t.Errorf("the refusal advises to come back after %q s, though the store is out", got)
+		}
 		if w.instances[3].Live() {
 			t.Errorf("an instance without routes is live")
 		}
