--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,196 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"knapweedwell/request"
+	"knapweedwell/route"
+)
+
+var model = &route.Pool{Name: "model", Engine: &route.Engine{Slots: 8, MemoryTokens: 100000}}
+
+func upstreams(n int) []*route.Upstream {
+	us := make([]*route.Upstream, n)
+	for i := range us {
+		us[i] = &route.Upstream{ID: fmt.Sprintf("u-%d", i), Pool: "model", Zone: "z", Slots: 8}
+	}
+	return us
+}
+
+func newPicker() *Picker {
+	return New("z", map[string]string{"z": "r", "far": "s"})
+}
+
+// ask returns a request with a shared part and one of its own.
+func ask(part, own uint64, rank int) Ask {
+	parts := []request.Part{{ID: part, Tokens: 5000}, {ID: own, Tokens: 500}}
+	return Ask{Pool: model, Rank: rank, Prompt: &request.Prompt{Parts: parts, Tokens: 5500, MaxOutput: 100}}
+}
+
+// TestAffinity sends requests with one shared part one after the other: all go
+// to one upstream, and two pickers that never talked agree on at most two.
+func TestAffinity(t *testing.T) {
+	us, now := upstreams(9), time.Unix(1000, 0)
+	seen := map[string]bool{}
+	for range 2 {
+		p := newPicker()
+		own := map[string]bool{}
+		for n := range 20 {
+			c, ok := p.Choose(now, us, ask(7, uint64(100+n), 1))
+			assert.Assert(t, ok)
+			l := p.Begin(now, ask(7, uint64(100+n), 1), c)
+			now = now.Add(200 * time.Millisecond)
+			l.First(now)
+			l.End(now, Served)
+			own[c.Upstream.ID], seen[c.Upstream.ID] = true, true
+			if n > 0 {
+				assert.Equal(t, c.Missing, 500)
+			}
+		}
+		assert.Equal(t, len(own), 1)
+	}
+	assert.Assert(t, len(seen) <= homes)
+}
+
+// TestSpread sends many requests without shared parts at once: no upstream gets
+// more than twice its share.
+func TestSpread(t *testing.T) {
+	us, now, p := upstreams(6), time.Unix(1000, 0), newPicker()
+	counts := map[string]int{}
+	for n := range 60 {
+		a := Ask{Pool: model, Prompt: &request.Prompt{Parts: []request.Part{{ID: uint64(n), Tokens: 800}}, Tokens: 800}}
+		c, ok := p.Choose(now, us, a)
+		assert.Assert(t, ok)
+		p.Begin(now, a, c)
+		counts[c.Upstream.ID]++
+	}
+	for id, n := range counts {
+		assert.Assert(t, n <= 20, "%s got %d of 60", id, n)
+	}
+}
+
+// TestAvoid checks that failed, banned and unreachable upstreams are left out as
+// long as there are others.
+func TestAvoid(t *testing.T) {
+	us, now, p := upstreams(3), time.Unix(1000, 0), newPicker()
+	a := ask(1, 2, 0)
+	a.Avoid = map[string]bool{"u-0": true}
+	c, ok := p.Choose(now, us, a)
+	assert.Assert(t, ok)
+	p.Begin(now, a, c).End(now, Unreachable)
+	next, ok := p.Choose(now, us, a)
+	assert.Assert(t, ok)
+	assert.Assert(t, next.Upstream.ID != c.Upstream.ID && next.Upstream.ID != "u-0")
+	a.Avoid[next.Upstream.ID] = true
+	last, ok := p.Choose(now, us, a)
+	assert.Assert(t, ok, "a banned upstream is taken if nothing else is left")
+	assert.Equal(t, last.Upstream.ID, c.Upstream.ID)
+	a.Avoid[c.Upstream.ID] = true
+	_, ok = p.Choose(now, us, a)
+	assert.Assert(t, !ok)
+}
+
+// TestSlow checks that an upstream that takes much longer than predicted gets
+// fewer requests, and that this is forgotten.
+func TestSlow(t *testing.T) {
+	us, now, p := upstreams(3), time.Unix(1000, 0), newPicker()
+	count := func() int {
+		slow := 0
+		for n := range 60 {
+			a := Ask{Pool: model, Prompt: &request.Prompt{Parts: []request.Part{{ID: uint64(now.UnixNano()) + uint64(n), Tokens: 800}}, Tokens: 800}}
+			c, _ := p.Choose(now, us, a)
+			l := p.Begin(now, a, c)
+			took := 70 * time.Millisecond
+			if c.Upstream.ID == "u-1" {
+				took = 700 * time.Millisecond
+				slow++
+			}
+			now = now.Add(took)
+			l.First(now)
+			l.End(now, Served)
+		}
+		return slow
+	}
+	assert.Assert(t, count() <= 15)
+	now = now.Add(time.Minute)
+	c := map[string]bool{}
+	for n := range 40 {
+		a := Ask{Pool: model, Prompt: &request.Prompt{Tokens: 10 + n}}
+		choice, _ := p.Choose(now, us, a)
+		c[choice.Upstream.ID] = true
+	}
+	assert.Assert(t, c["u-1"], "the upstream is never tried again")
+}
+
+// TestReborn forgets what is known of an upstream that started again.
+func TestReborn(t *testing.T) {
+	us, now, p := upstreams(1), time.Unix(1000, 0), newPicker()
+	c, _ := p.Choose(now, us, ask(7, 8, 0))
+	p.Begin(now, ask(7, 8, 0), c).End(now, Served)
+	c, _ = p.Choose(now, us, ask(7, 9, 0))
+	assert.Equal(t, c.Missing, 500)
+	again := *us[0]
+	again.Born = 99
+	c, _ = p.Choose(now, []*route.Upstream{&again}, ask(7, 9, 0))
+	assert.Equal(t, c.Missing, 5500)
+}
+
+// TestCounts checks that nothing is left of requests that have ended, however
+// they ended.
+func TestCounts(t *testing.T) {
+	us, now, p := upstreams(2), time.Unix(1000, 0), newPicker()
+	for _, o := range []Outcome{Served, Rejected, Failed, Unreachable, Misplaced, Left} {
+		for _, first := range []bool{true, false} {
+			c, _ := p.Choose(now, us, ask(7, 8, 3))
+			l := p.Begin(now, ask(7, 8, 3), c)
+			if first {
+				l.First(now)
+			}
+			l.End(now, o)
+		}
+	}
+	for id, s := range p.states {
+		assert.Equal(t, s.running, 0, id)
+		assert.Equal(t, s.tokens, 0, id)
+		assert.Equal(t, s.pending, [maxRank]int{}, id)
+	}
+}
+
+// TestTold uses the counts of a peer until they are too old.
+func TestTold(t *testing.T) {
+	us, now, p := upstreams(2), time.Unix(1000, 0), newPicker()
+	_, _ = p.Choose(now, us, ask(1, 2, 0))
+	memory := func(string) (int, bool) { return 100000, true }
+	p.Told(now, "peer", []Report{{Upstream: "u-0", Counts: Counts{Running: 8, Pending: 50000}}},
+		[]Placement{{Upstream: "u-1", Part: 7, Tokens: 5000}}, memory)
+	for n := range 10 {
+		c, _ := p.Choose(now, us, ask(uint64(50+n), 2, 0))
+		assert.Equal(t, c.Upstream.ID, "u-1")
+	}
+	c, _ := p.Choose(now, us, ask(7, 2, 0))
+	assert.Equal(t, c.Missing, 500)
+	later := now.Add(peerLifetime + time.Millisecond)
+	seen := map[string]bool{}
+	for n := range 40 {
+		c, _ := p.Choose(later, us, ask(uint64(100+n), 2, 0))
+		seen[c.Upstream.ID] = true
+	}
+	assert.Assert(t, seen["u-0"])
+}
+
+// BenchmarkChoose chooses among the upstreams of a pool as the target size has
+// them for one model.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{9, 90, 450} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			us, now, p := upstreams(n), time.Unix(1000, 0), newPicker()
+			for i := range b.N {
+				p.Choose(now, us, ask(uint64(i%100), 2, 0))
+			}
+		})
+	}
+}
