Order requests by their organisation first and by their route second

The log of ranks by route showed 0 and 1 only, and no order of kinds. Change: route.Table numbers all pairs of organisation and route in their order. Tests: route.TestRankOf, TestManyRanks.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -274,6 +274,7 @@
 	}
 	if x.route != nil {
 		fields["Route"] = x.route.Name
+		fields["Rank"] = x.rank
 		sample := metric.Sample{Class: x.route.Name, Result: result, FirstToken: x.first, Whole: whole}
 		if x.organisation != nil {
 			sample.Organisation = x.organisation.Name
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -141,7 +141,7 @@
 	if f := x.authorize(); f != nil {
 		return f
 	}
-	x.rank = x.route.RankOf(x.organisation)
+	x.rank = x.table.RankOf(x.route, x.organisation)
 	x.limit = x.arrived.Add(x.route.Timeout)
 	if x.head.TimeLeft > 0 && x.head.TimeLeft < x.route.Timeout {
 		x.limit = x.arrived.Add(x.head.TimeLeft)
--- a/route/route.go
+++ b/route/route.go
@@ -29,7 +29,7 @@
 	Timeout     time.Duration // Timeout is the longest that a caller is kept waiting.
 	Aim         time.Duration // Aim is the target for the answer, or the first event of a stream.
 	GapAim      time.Duration // GapAim is the longest pause between events that is on time.
-	Rank        int           // Rank orders requests; 0 is the most urgent.
+	Rank        int           // Rank orders requests of equally urgent organisations; 0 is the most urgent.
 	MaxAttempts int           // MaxAttempts is the most upstreams that may run one request.
 	Open        bool          // Open admits callers without a key.
 	Prompts     bool          // Prompts tells that requests carry the parts of their prompts.
@@ -83,7 +83,7 @@
 type Organisation struct {
 	Name    string
 	Rank    int
-	HasRank bool // HasRank tells that Rank goes before that of the route.
+	HasRank bool // HasRank tells that the organisation has a rank, which goes before that of the route.
 }
 
 // Limits bound what a caller may send.
@@ -102,10 +102,23 @@
 	Limits   Limits
 
 	byHost map[string][]*Route
+	ranks  map[urgency]int
+
+	lastRank int // lastRank is the least urgent rank of an organisation.
+}
+
+// urgency orders requests: first by their organisation, then by their route.
+type urgency struct {
+	organisation int
+	route        int
 }
 
-// Index prepares the table for Match. It is called once, before use.
+// Ranks is the number of ranks that RankOf tells apart.
+const Ranks = 10
+
+// Index prepares the table for Match and RankOf. It is called once, before use.
 func (t *Table) Index() {
+	t.indexRanks()
 	t.byHost = map[string][]*Route{}
 	for _, r := range t.Routes {
 		host := strings.ToLower(r.Host)
@@ -138,10 +151,50 @@
 	return t.Keys[key]
 }
 
-// RankOf returns the rank of a request of the organisation on a route.
-func (r *Route) RankOf(o *Organisation) int {
+// indexRanks numbers all combinations of an organisation's and a route's rank in
+// the order of their urgency. Where there are more than Ranks, neighbours share
+// a number.
+func (t *Table) indexRanks() {
+	last := 0
+	for _, o := range t.Keys {
+		last = max(last, o.Rank)
+	}
+	seen := map[urgency]bool{}
+	for _, r := range t.Routes {
+		// Callers without an organisation, or of one without a rank, come last.
+		seen[urgency{last, r.Rank}] = true
+		for _, o := range t.Keys {
+			if o.HasRank {
+				seen[urgency{o.Rank, r.Rank}] = true
+			}
+		}
+	}
+	all := make([]urgency, 0, len(seen))
+	for u := range seen {
+		all = append(all, u)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].organisation != all[j].organisation {
+			return all[i].organisation < all[j].organisation
+		}
+		return all[i].route < all[j].route
+	})
+	t.lastRank = last
+	t.ranks = make(map[urgency]int, len(all))
+	for i, u := range all {
+		t.ranks[u] = i
+		if len(all) > Ranks {
+			t.ranks[u] = i * Ranks / len(all)
+		}
+	}
+}
+
+// RankOf returns the rank of a request of the organisation on a route, 0 for the
+// most urgent. The organisation may be nil.
+func (t *Table) RankOf(r *Route, o *Organisation) int {
+	u := urgency{t.lastRank, r.Rank}
 	if o != nil && o.HasRank {
-		return o.Rank
+		u.organisation = o.Rank
 	}
-	return r.Rank
+	return t.ranks[u]
 }
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,43 @@
+package route
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRankOf orders requests first by organisation, then by route.
+func TestRankOf(t *testing.T) {
+	urgent, usual, none := &Organisation{Rank: 0, HasRank: true}, &Organisation{Rank: 4, HasRank: true}, &Organisation{}
+	first, second := &Route{Rank: 0}, &Route{Rank: 7}
+	table := &Table{Routes: []*Route{second, first}, Keys: map[string]*Organisation{"a": urgent, "b": usual, "c": none}}
+	table.Index()
+	assert.Equal(t, table.RankOf(first, urgent), 0)
+	assert.Equal(t, table.RankOf(second, urgent), 1)
+	assert.Equal(t, table.RankOf(first, usual), 2)
+	assert.Equal(t, table.RankOf(second, usual), 3)
+	assert.Equal(t, table.RankOf(second, none), 3)
+	assert.Equal(t, table.RankOf(first, nil), 2)
+}
+
+// TestManyRanks keeps the order where there are more combinations than ranks.
+func TestManyRanks(t *testing.T) {
+	table := &Table{Keys: map[string]*Organisation{}}
+	var os []*Organisation
+	for i := range 7 {
+		o := &Organisation{Rank: i, HasRank: true}
+		table.Keys[string(rune('a'+i))] = o
+		os = append(os, o)
+		table.Routes = append(table.Routes, &Route{Rank: i})
+	}
+	table.Index()
+	last := -1
+	for _, o := range os {
+		for _, r := range table.Routes {
+			rank := table.RankOf(r, o)
+			assert.Assert(t, rank >= last && rank < Ranks)
+			last = rank
+		}
+	}
+	assert.Equal(t, last, Ranks-1)
+}
