--- a/request/prompt.go
+++ b/request/prompt.go
@@ -8,11 +8,9 @@
 
 // Prompt is what a request says of its prompt without showing it.
 type Prompt struct {
-	Model     string
 	Parts     []Part // Parts are in order; the last is the request's own or its session's.
 	Tokens    int    // Tokens counts the whole prompt.
 	MaxOutput int    // MaxOutput is the most tokens of the answer.
-	Expected  int    // Expected is the caller's guess of the answer's tokens, zero if none.
 }
 
 // Shared returns the parts that other requests may share.
--- a/revision/keeper.go
+++ b/revision/keeper.go
@@ -59,13 +59,14 @@
 	mu        sync.Mutex // mu serialises taking a snapshot.
 	listeners []func(*Snapshot)
 	contact   time.Time // contact is the last answer of the platform.
-	fetching  bool      // fetching is true while a peer is asked.
+	relay     follow.Relay
 	follower  *follow.Follower
 	group     background.Group
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
 func (k *Keeper) Prepare() {
+	k.relay = follow.Relay{Delay: relayDelay, Timeout: fetchTimeout}
 	k.Peers.Handle(fetchMethod, k.serveFetch)
 }
 
@@ -113,6 +114,7 @@
 // Close stops following the platform.
 func (k *Keeper) Close() error {
 	err := k.follower.Close()
+	k.relay.Close()
 	k.group.Close()
 	return err
 }
@@ -218,13 +220,7 @@
 // Ahead fetches the configuration from a peer that has a higher revision, unless
 // the watch on the platform brings it first.
 func (k *Keeper) Ahead(address string, revision int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if revision <= k.Revision() || k.fetching {
-		return
-	}
-	k.fetching = true
-	k.group.Go(func(ctx context.Context) { k.fetch(ctx, address, revision) })
+	k.relay.Fetch(k.Revision() > 0, func() bool { return revision > k.Revision() }, func(ctx context.Context) { k.fetch(ctx, address) })
 }
 
 // fetched is a peer's answer to a fetch.
@@ -233,25 +229,13 @@
 	Record   *record
 }
 
-func (k *Keeper) fetch(ctx context.Context, address string, revision int64) {
-	defer func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.fetching = false
-	}()
-	if k.Revision() > 0 {
-		select {
-		case <-ctx.Done():
-		case <-time.After(relayDelay):
-		}
-	}
-	if k.Revision() >= revision {
+func (k *Keeper) fetch(ctx context.Context, address string) {
+	var f fetched
+	if err := k.Peers.Call(ctx, address, fetchMethod, nil, &f); err != nil {
+		k.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("configuration was not fetched from a peer")
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var f fetched
-	if err := k.Peers.Call(ctx, address, fetchMethod, nil, &f); err != nil || f.Record == nil {
+	if f.Record == nil {
 		return
 	}
 	if err := k.take(f.Revision, f.Record); err != nil {
--- a/roster/service.go
+++ b/roster/service.go
@@ -38,14 +38,15 @@
 	current  atomic.Pointer[Roster]
 	mu       sync.Mutex
 	book     *book
-	fetching bool
 	follower *follow.Follower
+	relay    follow.Relay
 	group    background.Group
 }
 
 // Prepare registers the handler. It is called before the peer node runs.
 func (s *Service) Prepare() {
 	s.book = newBook()
+	s.relay = follow.Relay{Delay: relayDelay, Timeout: fetchTimeout}
 	s.Peers.Handle(fetchMethod, s.serveFetch)
 }
 
@@ -70,6 +71,7 @@
 // Close stops following.
 func (s *Service) Close() error {
 	err := s.follower.Close()
+	s.relay.Close()
 	s.group.Close()
 	return err
 }
@@ -152,13 +154,8 @@
 // Ahead fetches the changes from a peer that knows newer ones, unless the watch
 // brings them first.
 func (s *Service) Ahead(address string, mark int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.fetching || !s.behind(mark) {
-		return
-	}
-	s.fetching = true
-	s.group.Go(func(ctx context.Context) { s.fetch(ctx, address, mark) })
+	patient := s.Current() != nil && !s.Away() && !s.follower.Idle()
+	s.relay.Fetch(patient, func() bool { return s.behind(mark) }, func(ctx context.Context) { s.fetch(ctx, address) })
 }
 
 // behind reports whether a change with the mark is not known here.
@@ -179,23 +176,7 @@
 	Removed []string
 }
 
-func (s *Service) fetch(ctx context.Context, address string, mark int64) {
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.fetching = false
-	}()
-	if s.Current() != nil && !s.Away() && !s.follower.Idle() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(relayDelay):
-		}
-	}
-	if !s.behind(mark) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
+func (s *Service) fetch(ctx context.Context, address string) {
 	var f fetched
 	if err := s.Peers.Call(ctx, address, fetchMethod, asked{After: s.Mark()}, &f); err != nil {
 		s.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("roster was not fetched from a peer")
--- a/route/route.go
+++ b/route/route.go
@@ -32,7 +32,6 @@
 	Rank        int           // Rank orders requests of equally urgent organisations; 0 is the most urgent.
 	MaxAttempts int           // MaxAttempts is the most upstreams that may run one request.
 	Open        bool          // Open admits callers without a key.
-	Prompts     bool          // Prompts tells that requests carry the parts of their prompts.
 	Targets     []Target
 }
 
@@ -73,10 +72,8 @@
 
 // Pool is a group of upstreams that serve the same requests.
 type Pool struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int     // MaxConnections bounds the connections of one upstream from all instances.
-	Engine         *Engine // Engine is nil for plain services.
+	Name   string
+	Engine *Engine // Engine is nil for plain services.
 }
 
 // Organisation is a customer of a route table.
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -1,15 +1,12 @@
 package route
 
-import "time"
-
 // Upstream is one incarnation of an upstream that announced itself.
 type Upstream struct {
-	ID       string
-	Pool     string
-	Address  string
-	Zone     string
-	Slots    int
-	Leaving  bool
-	Born     int64         // Born is the start of the incarnation in Unix milliseconds, zero if unknown.
-	WarmsFor time.Duration // WarmsFor is how much longer the upstream is slow after its start.
+	ID      string
+	Pool    string
+	Address string
+	Zone    string
+	Slots   int
+	Leaving bool
+	Born    int64 // Born is the start of the incarnation in Unix milliseconds, zero if unknown.
 }
--- a/routing/keeper.go
+++ b/routing/keeper.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"knapweedwell/background"
 	"knapweedwell/follow"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
@@ -41,13 +40,13 @@
 	current  atomic.Pointer[route.Table]
 	mu       sync.Mutex
 	source   platform.Object // source is what the table was read from.
-	fetching bool
 	follower *follow.Follower
-	group    background.Group
+	relay    follow.Relay
 }
 
 // Prepare registers the handler. It is called before the peer node runs.
 func (k *Keeper) Prepare() {
+	k.relay = follow.Relay{Delay: relayDelay, Timeout: fetchTimeout}
 	k.Peers.Handle(fetchMethod, k.serveFetch)
 }
 
@@ -78,7 +77,7 @@
 // Close stops following.
 func (k *Keeper) Close() error {
 	err := k.follower.Close()
-	k.group.Close()
+	k.relay.Close()
 	return err
 }
 
@@ -129,13 +128,8 @@
 // Ahead fetches the table from a peer that has a newer one, unless the watch
 // brings it first.
 func (k *Keeper) Ahead(address string, version int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if version <= k.Version() || k.fetching {
-		return
-	}
-	k.fetching = true
-	k.group.Go(func(ctx context.Context) { k.fetch(ctx, address, version) })
+	patient := k.Current() != nil && !k.follower.Away() && !k.follower.Idle()
+	k.relay.Fetch(patient, func() bool { return version > k.Version() }, func(ctx context.Context) { k.fetch(ctx, address, version) })
 }
 
 // fetched is a peer's answer to a fetch.
@@ -146,22 +140,6 @@
 }
 
 func (k *Keeper) fetch(ctx context.Context, address string, version int64) {
-	defer func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.fetching = false
-	}()
-	if k.Current() != nil && !k.follower.Away() && !k.follower.Idle() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(relayDelay):
-		}
-	}
-	if k.Version() >= version {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	var f fetched
 	if err := k.Peers.Call(ctx, address, fetchMethod, nil, &f); err != nil {
 		k.Log.WithFields(logrus.Fields{"Peer": address, "Version": version, "Error": err.Error()}).Warn("configuration was not fetched from a peer")
