Believe a peer's removals at once, and doubt only what looks like a lapse

In the log front-mba-a-1 began to follow the store at 26.44 s, rested, and began again; each time it doubted removals for two seconds, and kept the leaving upstream until 29.55 s though a peer had told of the removal at 26.98 s. Ruled out: late datagrams (the mark came after 0.06 s). Change: doubt begins with a return after failed calls, or when a third of the entries vanish at once; what a peer removed is removed. Found on the way: the tick that ends a doubt published an empty first roster, so an instance could go live without any upstream (TestStartInOutage). Tests: roster.TestAdoptInDoubt, TestLapse, seen to fail first.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -45,13 +45,12 @@
 	Listed   func(l platform.Listing)
 	Changed  func(c platform.Changes)
 	Lost     func(err error) // Lost is told once when the store stops answering; may be nil.
-	Back     func()          // Back is told when it answers again, or for the first time after the instance was idle; may be nil.
+	Back     func()          // Back is told once when it answers again; may be nil.
 	Log      logrus.FieldLogger
 
 	mu      sync.Mutex
 	contact time.Time // contact is when the store last answered.
 	synced  int64     // synced is the revision up to which all changes are known.
-	rested  bool      // rested tells that no call was made for a while.
 	lost    time.Time // lost is when the store stopped answering; zero while it answers.
 	group   background.Group
 }
@@ -159,7 +158,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lost = time.Time{}
-	f.rested = true
 }
 
 // watch waits for changes. It reports whether the wait was given up to begin one
@@ -217,16 +215,16 @@
 func (f *Follower) answered(revision int64) {
 	now := time.Now()
 	f.mu.Lock()
-	lost, rested := f.lost, f.rested
+	lost := f.lost
 	f.lost = time.Time{}
-	f.rested = false
 	f.contact = now
 	f.synced = revision
 	f.mu.Unlock()
-	if !lost.IsZero() {
-		f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": now.Sub(lost).Milliseconds()}).Info("the store answers again")
+	if lost.IsZero() {
+		return
 	}
-	if f.Back != nil && (rested || !lost.IsZero()) {
+	f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": now.Sub(lost).Milliseconds()}).Info("the store answers again")
+	if f.Back != nil {
 		f.Back()
 	}
 }
--- a/roster/book.go
+++ b/roster/book.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"knapweedwell/route"
@@ -14,7 +15,11 @@
 	// localBits is the bits of a mark that count the changes between two revisions
 	// of the store, such as the end of a doubt.
 	localBits = 8
-	maxLog    = 512 // maxLog bounds the changes that are kept for peers.
+	// leastLapse and lapseShare tell how many entries have to vanish at once, also
+	// as one of so many parts of all, to be taken as lapsed.
+	leastLapse = 2
+	lapseShare = 3
+	maxLog     = 512 // maxLog bounds the changes that are kept for peers.
 )
 
 // book is the list as it changes. It is a pure function of its calls.
@@ -56,31 +61,48 @@
 		shown[e.ID] = true
 		changed = b.put(e) || changed
 	}
+	var gone []string
 	for id := range b.entries {
 		if !shown[id] {
-			changed = b.remove(now, id) || changed
+			gone = append(gone, id)
 		}
 	}
+	b.suspect(now, gone)
+	for _, id := range gone {
+		changed = b.remove(now, id) || changed
+	}
 	return changed
 }
 
+// suspect begins a doubt if so many entries vanish at once that they have rather
+// lapsed than left, as after an outage that this instance has not seen itself.
+func (b *book) suspect(now time.Time, gone []string) {
+	silent := 0
+	for _, id := range gone {
+		if e := b.entries[id]; e != nil && !e.Leaving && !b.missing[id] {
+			silent++
+		}
+	}
+	if silent >= leastLapse && silent*lapseShare >= len(b.entries) && !now.Before(b.doubt) {
+		b.doubt = now.Add(DoubtTime)
+	}
+}
+
 // adopt takes in what a peer knows. It reports whether that is newer.
-func (b *book) adopt(now time.Time, f fetched) bool {
+func (b *book) adopt(f fetched) bool {
 	if f.Mark <= b.mark {
 		return false
 	}
-	entries := make([]*route.Upstream, len(f.Entries))
+	kept := map[string]bool{}
 	for i := range f.Entries {
-		entries[i] = &f.Entries[i]
+		b.put(&f.Entries[i])
+		kept[f.Entries[i].ID] = true
 	}
-	if f.Whole {
-		b.compare(now, entries)
-	}
-	for _, e := range entries {
-		b.put(e)
-	}
-	for _, id := range f.Removed {
-		b.remove(now, id)
+	// The peer was in doubt before it told of a removal.
+	for id := range b.entries {
+		if (f.Whole && !kept[id]) || slices.Contains(f.Removed, id) {
+			b.take(id)
+		}
 	}
 	b.stamp(f.Mark)
 	return true
@@ -155,10 +177,15 @@
 		b.missing[id] = true
 		return false
 	}
+	b.take(id)
+	return true
+}
+
+// take takes an entry out.
+func (b *book) take(id string) {
 	delete(b.entries, id)
 	delete(b.missing, id)
 	b.note(id)
-	return true
 }
 
 // settle takes out what is still missing once the doubt is over.
@@ -167,10 +194,8 @@
 		return false
 	}
 	for id := range b.missing {
-		delete(b.entries, id)
-		b.note(id)
+		b.take(id)
 	}
-	b.missing = map[string]bool{}
 	return b.advance(0, true)
 }
 
--- a/roster/book_test.go
+++ b/roster/book_test.go
@@ -53,19 +53,19 @@
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 				source.settle(now)
 			case 4:
-				catchUp(now, source, copied)
+				catchUp(source, copied)
 			}
 		}
 		now = now.Add(DoubtTime)
 		source.settle(now)
-		catchUp(now, source, copied)
+		catchUp(source, copied)
 		assert.DeepEqual(t, copied.entries, source.entries)
 		assert.Equal(t, copied.mark, source.mark)
 	})
 }
 
 // catchUp does what a fetch from a peer does.
-func catchUp(now time.Time, source, copied *book) {
+func catchUp(source, copied *book) {
 	f := fetched{Mark: source.mark}
 	entries, removed, ok := source.after(copied.mark)
 	if ok {
@@ -76,5 +76,34 @@
 			f.Entries = append(f.Entries, *e)
 		}
 	}
-	copied.adopt(now, f)
+	copied.adopt(f)
+}
+
+// TestAdoptInDoubt lets a peer tell of a removal while this instance is in doubt
+// itself: the peer has waited already.
+func TestAdoptInDoubt(t *testing.T) {
+	b, now := newBook(), time.Unix(1000, 0)
+	b.list(now, 5, []*route.Upstream{entry("a", false), entry("b", false)})
+	b.back(now)
+	assert.Assert(t, b.adopt(fetched{Mark: 9 << localBits, Removed: []string{"a"}}))
+	assert.Assert(t, !b.publish().Takes("a"))
+}
+
+// TestLapse lets a list show few or hardly any of the entries, without any sign
+// of an outage before: a few are gone, many have lapsed.
+func TestLapse(t *testing.T) {
+	for _, c := range []struct {
+		shown, used, later int
+	}{{12, 12, 12}, {11, 11, 11}, {9, 9, 9}, {7, 12, 7}, {0, 12, 0}} {
+		b, now := newBook(), time.Unix(1000, 0)
+		var all []*route.Upstream
+		for i := range 12 {
+			all = append(all, entry(string(rune('a'+i)), false))
+		}
+		b.list(now, 5, all)
+		b.list(now, 9, all[:c.shown])
+		assert.Equal(t, len(b.publish().Pool("p")), c.used, "%d shown", c.shown)
+		b.settle(now.Add(DoubtTime))
+		assert.Equal(t, len(b.publish().Pool("p")), c.later, "%d shown, later", c.shown)
+	}
 }
--- a/roster/service.go
+++ b/roster/service.go
@@ -21,7 +21,7 @@
 	fetchMethod  = "Roster.Fetch"
 	fetchTimeout = time.Second
 	relayDelay   = 300 * time.Millisecond // relayDelay is the time that the watch has before a peer is asked.
-	settlePeriod = 250 * time.Millisecond
+	settlePeriod = 100 * time.Millisecond
 	startSpread  = 20 * time.Millisecond // startSpread spreads the first lists of instances that start together.
 )
 
@@ -63,7 +63,7 @@
 		Log:      s.Log,
 	}
 	s.group.Every(settlePeriod, func(_ context.Context, now time.Time) {
-		s.update(func(b *book) bool { return b.settle(now) })
+		s.update(false, func(b *book) bool { return b.settle(now) })
 	})
 	return s.follower.Run(k)
 }
@@ -94,10 +94,11 @@
 	return s.follower.Away()
 }
 
-// update changes the book and publishes it if that changed anything.
-func (s *Service) update(change func(*book) bool) {
+// update changes the book and publishes it if that changed anything, or if it is
+// the first list.
+func (s *Service) update(list bool, change func(*book) bool) {
 	s.mu.Lock()
-	if !change(s.book) && s.Current() != nil {
+	if !change(s.book) && !(list && s.Current() == nil) {
 		s.mu.Unlock()
 		return
 	}
@@ -123,12 +124,19 @@
 			entries = append(entries, e)
 		}
 	}
-	s.update(func(b *book) bool { return b.list(time.Now(), l.Revision, entries) })
+	s.update(true, func(b *book) bool { return b.list(time.Now(), l.Revision, entries) })
 }
 
 func (s *Service) changed(c platform.Changes) {
-	s.update(func(b *book) bool {
+	s.update(false, func(b *book) bool {
 		changed := false
+		var gone []string
+		for _, ev := range c.Events {
+			if ev.Removed {
+				gone = append(gone, ev.Object.Name)
+			}
+		}
+		b.suspect(time.Now(), gone)
 		for _, ev := range c.Events {
 			e := s.read(ev.Object)
 			if ev.Removed || e == nil {
@@ -182,7 +190,7 @@
 		s.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("roster was not fetched from a peer")
 		return
 	}
-	s.update(func(b *book) bool { return b.adopt(time.Now(), f) })
+	s.update(false, func(b *book) bool { return b.adopt(f) })
 }
 
 func (s *Service) serveFetch(_ context.Context, _ string, params json.RawMessage) (any, error) {
