--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -56,6 +56,7 @@
 	first       time.Duration // first is the time to the first byte for the caller.
 	choice      pick.Choice   // choice is the last choice.
 	gone        bool          // gone tells that the caller left.
+	reused      bool          // reused tells that the last connection was kept from an earlier request.
 }
 
 // serve sends the request until it is answered or nothing more may be tried.
@@ -173,6 +174,7 @@
 		lease.End(time.Now(), pick.Unreachable)
 		return unreachable{reason: err.Error()}
 	}
+	x.reused = conn.Reused
 	if !conn.Reused {
 		x.s.Picker.Connected(u, conn.Dialed)
 	}
@@ -301,6 +303,6 @@
 func (x *exchange) note(what, reason string) {
 	x.s.Log.WithFields(logrus.Fields{
 		"RequestID": x.head.ID, "Route": x.route.Name, "Upstream": x.choice.Upstream.ID, "Sends": x.sends, "Runs": x.runs,
-		"Events": x.stream.events, "Reason": reason,
+		"Events": x.stream.events, "KeptConnection": x.reused, "Reason": reason,
 	}).Warn(what)
 }
