Keep streams off upstreams whose pauses would miss their aim

Nothing in a choice knew of pauses.

Change: the median time between events tells an upstream's pace against its pool; the longest pauses of the last 96 streams, scaled by it, tell how often a route's aim would be missed, which costs up to 0.8 s. Peers are told the pace, one byte a report. The longest pause of a stream is logged.

Ruled out: the prompts read alongside as the deciding difference between upstreams (the others read as much).

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -74,7 +74,7 @@
 		if ctx.Err() != nil {
 			return x.over(ctx)
 		}
-		a := pick.Ask{Pool: x.pool, Rank: x.rank, Prompt: &x.head.Prompt, Avoid: x.avoid}
+		a := pick.Ask{Pool: x.pool, Rank: x.rank, Prompt: &x.head.Prompt, GapAim: x.route.GapAim, Avoid: x.avoid}
 		c, ok := x.s.Picker.Choose(time.Now(), x.s.Roster().Pool(name), a)
 		if !ok {
 			return x.giveUp("no upstream of %s is left to try", name)
@@ -292,6 +292,9 @@
 		fields["Missing"] = c.Missing
 		fields["Ahead"] = c.Running
 		fields["PeersAgeMillis"] = c.PeersAge.Milliseconds()
+		if x.route.Stream {
+			fields["GapMillis"] = x.stream.gap.Milliseconds()
+		}
 	}
 	if f != nil {
 		fields["Reason"] = f.Message
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -18,6 +18,16 @@
 	lastID string // lastID is the ID of the last event that went out.
 	last   int64  // last is its number.
 	events int
+	at     time.Time     // at is when the last event went out.
+	gap    time.Duration // gap is the longest pause between events so far.
+}
+
+// pause notes that events go out.
+func (s *stream) pause(now time.Time) {
+	if !s.at.IsZero() {
+		s.gap = max(s.gap, now.Sub(s.at))
+	}
+	s.at = now
 }
 
 // errCaller marks a failed write to the caller.
@@ -36,7 +46,8 @@
 		if whole > 0 {
 			now := time.Now()
 			t.lease.First(now)
-			t.lease.Heard(now)
+			t.lease.Event(now)
+			x.stream.pause(now)
 			if werr := x.events(t, pending[:whole]); werr != nil {
 				t.keep = false
 				x.gone = true
--- a/pick/lease.go
+++ b/pick/lease.go
@@ -19,6 +19,7 @@
 	tokens  int
 	begun   time.Time
 	started bool // started tells that the first token came.
+	pauses  pauses
 }
 
 const (
@@ -43,11 +44,12 @@
 	return l.overdue(now) && l.state.heard.Before(l.begun)
 }
 
-// Heard notes that the upstream sent something.
-func (l *Lease) Heard(now time.Time) {
+// Event notes that the upstream sent events of the stream.
+func (l *Lease) Event(now time.Time) {
 	l.picker.mu.Lock()
 	defer l.picker.mu.Unlock()
 	l.state.heard = now
+	l.pauses.event(now)
 }
 
 // Placement tells that an upstream reads a part.
@@ -141,6 +143,7 @@
 		s.observeOutcome(now, false)
 		s.cleared()
 		le.ended(took)
+		le.streamed(now, s, &l.pauses)
 		if l.pool.Engine == nil {
 			s.observeSlowness(now, (took+0.01)/(le.hold+0.01))
 		}
@@ -161,10 +164,12 @@
 type Report struct {
 	Upstream string
 	Counts   Counts
+	Paced    bool    // Paced tells that the instance has seen the upstream's pace.
+	Pace     float64 // Pace is the logarithm of its time for an event against other upstreams.
 }
 
 // Reports returns what has to be told, and the placements since the last call.
-func (p *Picker) Reports() ([]Report, []Placement) {
+func (p *Picker) Reports(now time.Time) ([]Report, []Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var reports []Report
@@ -176,7 +181,7 @@
 		for _, tokens := range s.pending {
 			c.Pending += tokens
 		}
-		reports = append(reports, Report{Upstream: id, Counts: c})
+		reports = append(reports, Report{Upstream: id, Counts: c, Paced: now.Sub(s.own.at) < paceLifetime, Pace: s.own.log})
 	}
 	placed := p.placed
 	p.placed = nil
@@ -194,6 +199,9 @@
 		if s := p.states[r.Upstream]; s != nil {
 			r.Counts.At = now
 			s.peers[from] = r.Counts
+			if r.Paced {
+				s.paces[from] = pace{log: r.Pace, at: now}
+			}
 		}
 	}
 	for _, pl := range placed {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -28,6 +28,7 @@
 	spread        = 2 * time.Millisecond   // spread is the random part of a cost, so that equal pictures do not herd.
 	spreadShare   = 0.03                   // spreadShare is the relative random part.
 	failureCost   = 800 * time.Millisecond // failureCost is the time that a request loses when its upstream fails.
+	lateCost      = 800 * time.Millisecond // lateCost is what a pause over the aim costs.
 	memoryShare   = 0.85                   // memoryShare is the filling above which an engine may preempt.
 	firstBan      = 300 * time.Millisecond // firstBan is how long an upstream is avoided after it could not be reached.
 	longestBan    = 4 * time.Second        // longestBan bounds that time as failures go on.
@@ -40,6 +41,7 @@
 	Pool   *route.Pool
 	Rank   int
 	Prompt *request.Prompt
+	GapAim time.Duration   // GapAim is the longest pause between events that is on time; zero if there is none.
 	Avoid  map[string]bool // Avoid holds the upstreams that have failed the request.
 }
 
@@ -128,6 +130,7 @@
 		wait += l.base*slow + read
 		c.Predicted = seconds(wait)
 		wait += (rereadWeight - 1) * l.perToken * float64(reread)
+		wait += lateCost.Seconds() * l.tooLong(a.GapAim, s.pace(now))
 	} else {
 		wait += l.hold * slow
 		c.Predicted = seconds(wait)
--- a/pick/state.go
+++ b/pick/state.go
@@ -30,16 +30,19 @@
 	headerRunning, headerWaiting int
 	headerAt                     time.Time
 
-	slow        float64 // slow is the logarithm of the ratio of seen to predicted times.
-	slowAt      time.Time
-	fail        float64 // fail is the share of failures.
-	failAt      time.Time
+	slow   float64 // slow is the logarithm of the ratio of seen to predicted times.
+	slowAt time.Time
+	fail   float64 // fail is the share of failures.
+	failAt time.Time
+	own    pace            // own is the pace that was seen here.
+	paces  map[string]pace // paces are those that peers have seen.
+
 	bans        int // bans counts the failures to connect in a row.
 	bannedUntil time.Time
 }
 
 func newState(born int64) *state {
-	return &state{born: born, peers: map[string]Counts{}}
+	return &state{born: born, peers: map[string]Counts{}, paces: map[string]pace{}}
 }
 
 // Counts are what one instance knows of the requests that it has at an
@@ -141,6 +144,12 @@
 	perToken float64 // perToken is the seconds to read one token of a prompt.
 	base     float64 // base is the seconds to the first token of a prompt that is known.
 	hold     float64 // hold is the seconds that a request occupies a place.
+
+	paced   bool
+	paceLog float64   // paceLog is the logarithm of the seconds between events.
+	recent  []float64 // recent holds the longest pauses of the latest streams in seconds, in a ring.
+	next    int       // next is the oldest of them once the ring is full.
+	sorted  []float64 // sorted holds the same by length.
 }
 
 // Values before anything is learned.
--- a/picture/codec.go
+++ b/picture/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/pkg/errors"
 
@@ -10,9 +11,10 @@
 )
 
 const (
-	formatVersion = 1
+	formatVersion = 2
 	hashBytes     = 4
 	maxName       = 64
+	paceScale     = 64  // paceScale is the steps of a pace in one unit of its logarithm.
 	maxEntries    = 400 // maxEntries bounds the entries of a kind in one datagram.
 )
 
@@ -44,6 +46,7 @@
 		b = binary.AppendUvarint(b, uint64(max(r.Counts.Running, 0)))
 		b = binary.AppendUvarint(b, uint64(max(r.Counts.Pending, 0)))
 		b = binary.AppendUvarint(b, uint64(max(r.Counts.Tokens, 0)))
+		b = append(b, writePace(r))
 	}
 	b = binary.AppendUvarint(b, uint64(len(placed)))
 	for _, p := range placed {
@@ -54,6 +57,22 @@
 	return b
 }
 
+// writePace returns the pace of a report in one byte; zero means that there is
+// none.
+func writePace(r pick.Report) byte {
+	if !r.Paced {
+		return 0
+	}
+	return byte(min(max(math.Round(r.Pace*paceScale), -math.MaxInt8), math.MaxInt8) - math.MinInt8)
+}
+
+// readPace sets the pace of a report.
+func readPace(b byte, r *pick.Report) {
+	if r.Paced = b != 0; r.Paced {
+		r.Pace = float64(int(b)+math.MinInt8) / paceScale
+	}
+}
+
 func flag(set bool) byte {
 	if set {
 		return 1
@@ -117,6 +136,7 @@
 		rep.Counts.Running = r.count(maxCount)
 		rep.Counts.Pending = r.count(maxCount)
 		rep.Counts.Tokens = r.count(maxCount)
+		readPace(r.bytes(1)[0], &rep)
 		m.Reports = append(m.Reports, rep)
 	}
 	for range r.count(maxEntries) {
--- a/picture/codec_test.go
+++ b/picture/codec_test.go
@@ -12,7 +12,7 @@
 func sample() message {
 	return message{
 		Sender: "entry-1", State: member.Leaving, Away: true, Number: 7, Version: 12, Changes: 300 << 8,
-		Reports: []pick.Report{{Upstream: "u-1", Counts: pick.Counts{Running: 3, Pending: 5000, Tokens: 90000}}},
+		Reports: []pick.Report{{Upstream: "u-1", Counts: pick.Counts{Running: 3, Pending: 5000, Tokens: 90000}, Paced: true, Pace: 0.25}, {Upstream: "u-3"}},
 		Placed:  []pick.Placement{{Upstream: "u-2", Part: 0xdeadbeefcafe, Tokens: 13000}},
 	}
 }
@@ -31,6 +31,9 @@
 	assert.Equal(t, m.Changes, want.Changes)
 	assert.Equal(t, m.Reports[0].Upstream, want.Reports[0].Upstream)
 	assert.Equal(t, m.Reports[0].Counts.Pending, want.Reports[0].Counts.Pending)
+	assert.Equal(t, m.Reports[0].Paced, true)
+	assert.Equal(t, m.Reports[0].Pace, want.Reports[0].Pace)
+	assert.Equal(t, m.Reports[1].Paced, false)
 	assert.Equal(t, m.Placed[0], want.Placed[0])
 }
 
--- a/picture/picture.go
+++ b/picture/picture.go
@@ -111,7 +111,7 @@
 
 // tell sends one report to the others, in a large fleet to some of them in turn.
 func (s *Service) tell() {
-	reports, placed := s.Picker.Reports()
+	reports, placed := s.Picker.Reports(time.Now())
 	s.mu.Lock()
 	s.number++
 	number := s.number
