Divert less: weigh reading again 25 times its wait, keep the parts of an unreachable upstream

Ruled out: parts that the engines evict and the instances still believe in (the diverted requests explain all that was read again).

Change: 25 in place of 12; a refused connection forgets nothing; up to 16 upstreams may be unreachable.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -19,7 +19,7 @@
 
 const (
 	maxRejections  = 3                       // maxRejections bounds the upstreams that may refuse one request.
-	maxUnreachable = 4                       // maxUnreachable bounds the connections that may fail for one request.
+	maxUnreachable = 16                      // maxUnreachable bounds the connections that may fail for one request.
 	startWait      = 300 * time.Millisecond  // startWait is the advice of an instance that has just started.
 	outageWait     = 2500 * time.Millisecond // outageWait is the advice of one that waits for the store's return.
 	leavingWait    = 20 * time.Millisecond   // leavingWait is the advice of an instance that leaves; another one serves at once.
--- a/pick/lease.go
+++ b/pick/lease.go
@@ -152,7 +152,10 @@
 		s.headerRunning, s.headerWaiting, s.headerAt = max(l.choice.Upstream.Slots, 1), 1, now
 	case Failed:
 		s.observeOutcome(now, true)
-	case Unreachable, Misplaced:
+	case Unreachable:
+		s.observeOutcome(now, true)
+		s.ban(now)
+	case Misplaced:
 		s.observeOutcome(now, true)
 		s.ban(now)
 		s.cache.clear()
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	rereadWeight  = 12                     // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
+	rereadWeight  = 25                     // rereadWeight is the cost of reading a token again against waiting for one: it delays everything behind it and takes memory from other parts.
 	homes         = 2                      // homes is the upstreams that are taken to hold a part which nobody is known to hold.
 	farWeight     = 2                      // farWeight is the round trips that a request to another region costs.
 	crowdCost     = 20 * time.Millisecond  // crowdCost is the delay by a full upstream's other requests.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -194,3 +194,19 @@
 		})
 	}
 }
+
+// TestUnreachableKeepsParts lets a connection fail: the parts of the upstream are
+// not forgotten, unless another upstream has its address.
+func TestUnreachableKeepsParts(t *testing.T) {
+	us, now, p := upstreams(1), time.Unix(1000, 0), newPicker()
+	for _, c := range []struct {
+		outcome Outcome
+		missing int
+	}{{Served, 500}, {Unreachable, 500}, {Misplaced, 5500}} {
+		first, _ := p.Choose(now, us, ask(7, 8, 0))
+		p.Begin(now, ask(7, 8, 0), first).End(now, c.outcome)
+		next, ok := p.Choose(now, us, ask(7, 9, 0))
+		assert.Assert(t, ok)
+		assert.Equal(t, next.Missing, c.missing, "outcome %d", c.outcome)
+	}
+}
