Refuse requests of the lowest rank while too much work is ahead of them

Change: a request of the lowest rank that was asked for within 30 s is refused before it is sent anywhere if what is ahead of it at the chosen upstream takes over half of its aim; one that has lost some of its time (it came back) if that takes over the whole aim. The wait counts others' work only, so large requests are refused no more often.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -83,6 +83,9 @@
 			return x.giveUp("the retry budget is spent")
 		}
 		x.choice = c
+		if f := x.tooMuchAhead(); f != nil {
+			return f
+		}
 		if f, done := x.settle(ctx, x.send(ctx, a, c)); done {
 			return f
 		}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -49,6 +49,8 @@
 type Choice struct {
 	Upstream  *route.Upstream
 	Predicted time.Duration // Predicted is the time to the first token.
+	Wait      time.Duration // Wait is the part of Predicted that earlier requests cause.
+	Least     bool          // Least tells that no less urgent request for the pool was seen lately.
 	Missing   int           // Missing counts the prompt's tokens that the upstream has to read.
 	Running   int           // Running counts the requests that are known to run there.
 	Pending   int           // Pending counts the tokens known to be read there before.
@@ -82,6 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
+	least := p.pool(a.Pool.Name).least(now, a.Rank)
 	var homes [homes]string
 	if a.Pool.Engine != nil && !p.held(candidates, a.Prompt) {
 		homes = findHomes(candidates, a.Prompt)
@@ -107,6 +110,7 @@
 	if best.Upstream == nil {
 		best = banned
 	}
+	best.Least = least
 	return best, best.Upstream != nil
 }
 
@@ -127,6 +131,7 @@
 			reread = min(reread, max(a.Prompt.Tokens-sharedTokens(a.Prompt), 0))
 		}
 		read := l.perToken * slow * (float64(c.Pending) + float64(c.Missing))
+		c.Wait = seconds(l.perToken * slow * float64(c.Pending))
 		wait += l.base*slow + read
 		c.Predicted = seconds(wait)
 		wait += (rereadWeight - 1) * l.perToken * float64(reread)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -210,3 +210,24 @@
 		assert.Equal(t, next.Missing, c.missing, "outcome %d", c.outcome)
 	}
 }
+
+// TestLeast tells the requests of the lowest rank that was asked for lately, and
+// how long others make a request wait.
+func TestLeast(t *testing.T) {
+	us, now, p := upstreams(1), time.Unix(1000, 0), newPicker()
+	for _, c := range []struct {
+		after time.Duration
+		rank  int
+		least bool
+	}{{0, 1, true}, {0, 4, true}, {time.Second, 1, false}, {time.Second, 4, true}, {rankMemory, 1, true}} {
+		now = now.Add(c.after)
+		choice, ok := p.Choose(now, us, ask(7, 8, c.rank))
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Least, c.least, "rank %d", c.rank)
+	}
+	first, _ := p.Choose(now, us, ask(7, 8, 1))
+	assert.Equal(t, first.Wait, time.Duration(0))
+	p.Begin(now, ask(7, 8, 1), first)
+	second, _ := p.Choose(now, us, ask(7, 9, 1))
+	assert.Assert(t, second.Wait > 0 && second.Wait < second.Predicted, second.Wait)
+}
--- a/pick/state.go
+++ b/pick/state.go
@@ -13,7 +13,8 @@
 	failStep      = 0.25                   // failStep is the weight of one outcome.
 	slowest       = 12                     // slowest bounds the slowness.
 	maxRank       = 10
-	lowerRankWork = 0.3 // lowerRankWork is the share of less urgent work that still delays a request.
+	rankMemory    = 30 * time.Second // rankMemory is how long a rank counts as asked for.
+	lowerRankWork = 0.3              // lowerRankWork is the share of less urgent work that still delays a request.
 )
 
 // state is what is known of one incarnation of an upstream.
@@ -145,6 +146,8 @@
 	base     float64 // base is the seconds to the first token of a prompt that is known.
 	hold     float64 // hold is the seconds that a request occupies a place.
 
+	asked [maxRank]time.Time // asked is when a request of the rank last came.
+
 	paced   bool
 	paceLog float64   // paceLog is the logarithm of the seconds between events.
 	recent  []float64 // recent holds the longest pauses of the latest streams in seconds, in a ring.
@@ -189,3 +192,16 @@
 func (l *learned) ended(took float64) {
 	l.hold += learnStep * (took - l.hold)
 }
+
+// least notes a request of the rank and reports whether no less urgent one came
+// lately.
+func (l *learned) least(now time.Time, rank int) bool {
+	rank = min(max(rank, 0), maxRank-1)
+	l.asked[rank] = now
+	for _, at := range l.asked[rank+1:] {
+		if now.Sub(at) < rankMemory {
+			return false
+		}
+	}
+	return true
+}
--- a/world/edge_test.go
+++ b/world/edge_test.go
@@ -188,6 +188,7 @@
 			r("read", "/read/", "safe", nil),
 			r("book", "/book/", "unsafe", map[string]any{"max_attempts": 1}),
 			r("talk", "/talk/", "stream", map[string]any{"resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}),
+			r("swift", "/swift/", "stream", map[string]any{"priority": 0, "resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}),
 			r("once", "/once/", "stream", map[string]any{"max_attempts": 1, "sticky": true, "backends": model, "timeout_ms": 20000}),
 		},
 		"services": []any{
