--- a/world/edge_overload_test.go
+++ b/world/edge_overload_test.go
@@ -16,6 +16,9 @@
 // and a more urgent one is never refused.
 func TestOverload(t *testing.T) {
 	inRouted(t, 1, func(w *routed) {
+		w.urgent = true
+		w.configure()
+		time.Sleep(2 * time.Second)
 		w.each("model", runner.Faults{Delay: 4 * time.Second})
 		prompt := func(n int, left time.Duration) map[string]string {
 			return map[string]string{
--- a/world/edge_test.go
+++ b/world/edge_test.go
@@ -117,6 +117,7 @@
 	servers   []*http.Server
 	version   int64
 	keys      []string
+	urgent    bool     // urgent adds a route that is more urgent than the others.
 	services  []string // services are those that the calls route leads to.
 }
 
@@ -182,15 +183,18 @@
 		return route
 	}
 	model := []map[string]any{{"service": "model", "weight": 1}}
+	routes := []any{}
+	if w.urgent {
+		routes = append(routes, r("swift", "/swift/", "stream", map[string]any{"priority": 0, "resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}))
+	}
 	w.store.Put("config", "main", map[string]any{
 		"version": w.version,
-		"routes": []any{
+		"routes": append(routes,
 			r("read", "/read/", "safe", nil),
 			r("book", "/book/", "unsafe", map[string]any{"max_attempts": 1}),
 			r("talk", "/talk/", "stream", map[string]any{"resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}),
-			r("swift", "/swift/", "stream", map[string]any{"priority": 0, "resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}),
 			r("once", "/once/", "stream", map[string]any{"max_attempts": 1, "sticky": true, "backends": model, "timeout_ms": 20000}),
-		},
+		),
 		"services": []any{
 			map[string]any{"name": "calls", "health_path": "/health", "max_connections": 100},
 			map[string]any{"name": "model", "health_path": "/health", "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000}},
