Let a stop signal that comes again not cut off requests

Whoever sends SIGTERM twice asks for the same planned stop twice.

Change: only an interrupt cuts a stop short. Ruled out: the grace period (the instances left 0.7 to 1.0 s after the first signal).

--- a/cmd/knapweedwelld/main.go
+++ b/cmd/knapweedwelld/main.go
@@ -163,14 +163,25 @@
 	return info.ModTime()
 }
 
-// stop stops the instance as planned. A second signal cuts the stop short.
+// stop stops the instance as planned. An interrupt cuts the stop short; a stop
+// signal that comes again does not, since whatever sends it asks for the same.
 func stop(s service, signals <-chan os.Signal, log logrus.FieldLogger) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		<-signals
-		log.Warn("second signal: requests under way are cut off")
-		cancel()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case again := <-signals:
+				if again == os.Interrupt {
+					log.Warn("interrupt during the stop: requests under way are cut off")
+					cancel()
+					return
+				}
+				log.WithField("Signal", again.String()).Info("the instance is leaving already")
+			}
+		}
 	}()
 	if err := s.Stop(ctx); err != nil {
 		log.WithField("Error", err.Error()).Warn("stop was not clean")
