--- a/edge/edge.go
+++ b/edge/edge.go
@@ -103,7 +103,7 @@
 		Operator:    s.Operator,
 		Exchange:    s.Routes.Exchange,
 	}
-	i.Peers = &peer.Node{Name: s.Name, Address: s.Peer, Key: s.PeerKey, Dial: i.Dial, Listen: i.Listen, Log: i.Log}
+	i.Peers = &peer.Node{Name: s.Name, Address: s.Peer, Bind: s.PeerBind, Key: s.PeerKey, Dial: i.Dial, Listen: i.Listen, Log: i.Log}
 	i.Beats = &heartbeat.Service{Self: self, Seeds: s.Seeds, Peers: i.Peers, Platform: i.store, Log: i.Log}
 	i.Beats.Revision = func() int64 { return i.Routing.Version() }
 	i.Beats.Ahead = func(address string, version int64) { i.Routing.Ahead(address, version) }
@@ -125,6 +125,7 @@
 	i.Picture = &picture.Service{
 		Self:    i.Settings.Name,
 		Address: i.Settings.Routes.Exchange,
+		Bind:    i.Settings.Routes.ExchangeBind,
 		Listen:  i.ListenPacket,
 		Members: i.Beats.Members,
 		Member:  i.Beats.Member,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -131,6 +131,7 @@
 	i.Peers = &peer.Node{
 		Name:    self.Name,
 		Address: self.Peer,
+		Bind:    i.Settings.PeerBind,
 		Key:     i.Settings.PeerKey,
 		Dial:    i.Dial,
 		Listen:  i.Listen,
--- a/peer/node.go
+++ b/peer/node.go
@@ -45,6 +45,7 @@
 type Node struct {
 	Name    string
 	Address string
+	Bind    string // Bind is the address to listen at if others reach this instance at another one.
 	Key     string // Key is shared by all instances.
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	Listen  func(network, address string) (net.Listener, error)
@@ -75,12 +76,18 @@
 
 // Run starts listening.
 func (n *Node) Run(*kernel.Kernel) error {
-	l, err := n.Listen("tcp", n.Address)
+	bind := n.Bind
+	if bind == "" {
+		bind = n.Address
+	}
+	l, err := n.Listen("tcp", bind)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
 	n.listener = l
-	n.Address = l.Addr().String()
+	if n.Bind == "" {
+		n.Address = l.Addr().String()
+	}
 	n.conns = map[string]*jsonrpc2.Conn{}
 	n.all = map[*jsonrpc2.Conn]bool{}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/picture/picture.go
+++ b/picture/picture.go
@@ -48,6 +48,7 @@
 type Service struct {
 	Self    string
 	Address string
+	Bind    string // Bind is the address to listen at if others reach this instance at another one.
 	Listen  func(network, address string) (net.PacketConn, error)
 	// Members returns the instances that are known, this one included.
 	Members func() []member.Member
@@ -83,7 +84,11 @@
 
 // Run starts to tell and to hear.
 func (s *Service) Run(*kernel.Kernel) error {
-	conn, err := s.Listen("udp", s.Address)
+	bind := s.Bind
+	if bind == "" {
+		bind = s.Address
+	}
+	conn, err := s.Listen("udp", bind)
 	if err != nil {
 		return errors.Wrap(err, "listen for datagrams")
 	}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -16,6 +16,7 @@
 	Zone         string
 	Caller       string // Caller is the address that callers connect to.
 	Peer         string // Peer is the address for other instances.
+	PeerBind     string // PeerBind is the address to listen at for other instances, if they reach this one at another; empty means Peer.
 	Operator     string // Operator is the address for operators.
 	Platform     string // Platform is the address of the object API.
 	Seeds        []string
@@ -34,6 +35,7 @@
 	Readiness       string            // Readiness is the address for the platform's checks.
 	Directory       string            // Directory is the address for callers that ask where to connect.
 	Exchange        string            // Exchange is the address for datagrams of other instances.
+	ExchangeBind    string            // ExchangeBind is the address to listen at for datagrams, if others reach this instance at another; empty means Exchange.
 	AddressLifetime time.Duration     // AddressLifetime is how long callers keep an address answer.
 	GracePeriod     time.Duration     // GracePeriod is the time from a stop signal to the kill.
 	RetryRatio      float64           // RetryRatio is the repeats for each request that all instances share.
@@ -111,6 +113,7 @@
 	s.Zone = r.Required("Zone", "the availability zone of this instance")
 	s.Caller = r.Address("Caller", true)
 	s.Peer = r.Address("Peer", true)
+	s.PeerBind = r.Address("PeerBind", false)
 	s.Operator = r.Address("Operator", true)
 	s.Platform = r.Address("Platform", true)
 	s.Seeds = r.Addresses("Seeds")
@@ -143,6 +146,7 @@
 		Readiness:       r.Address("Readiness", true),
 		Directory:       r.Address("Directory", true),
 		Exchange:        r.Address("Exchange", true),
+		ExchangeBind:    r.Address("ExchangeBind", false),
 		AddressLifetime: r.Duration("AddressLifetime", defaultAddressLifetime, time.Millisecond),
 		GracePeriod:     r.Duration("GracePeriod", defaultGracePeriod, 0),
 		RetryRatio:      r.Float("RetryRatio", defaultRetryRatio, 0, 1),
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -50,6 +50,8 @@
 	Target string
 	Header http.Header
 	Body   string
+
+	at time.Time
 }
 
 // Runner is the stand-in. ID is set before the first request.
@@ -95,6 +97,37 @@
 	return append([]Seen(nil), r.seen...)
 }
 
+// RunsOf returns how often one request ran.
+func (r *Runner) RunsOf(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// TakeSeen returns the requests that came since it was last called, in order,
+// and forgets them.
+func (r *Runner) TakeSeen() []Seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := r.seen
+	r.seen = nil
+	return seen
+}
+
+// After returns the IDs of the requests that came after a time and are not taken
+// yet.
+func (r *Runner) After(t time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for _, s := range r.seen {
+		if s.at.After(t) {
+			ids = append(ids, s.Header.Get(idHeader))
+		}
+	}
+	return ids
+}
+
 // Last returns when the last request came.
 func (r *Runner) Last() time.Time {
 	r.mu.Lock()
@@ -166,7 +199,7 @@
 func (r *Runner) note(req *http.Request, body []byte) Faults {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seen = append(r.seen, Seen{Method: req.Method, Target: req.RequestURI, Header: req.Header.Clone(), Body: string(body)})
+	r.seen = append(r.seen, Seen{Method: req.Method, Target: req.RequestURI, Header: req.Header.Clone(), Body: string(body), at: time.Now()})
 	r.last = time.Now()
 	return r.faults
 }
