Take a rank as the lowest by the configuration, or after many requests without a lower one

Cause: reading the refusal as a newcomer: an instance that has just started has seen no less urgent request yet, so the first ones of any rank counted as the least urgent and could be refused in overload while less urgent ones ran elsewhere.

Change: route.Table knows the lowest rank of each pool; a higher rank counts as the lowest only after 100 requests, none of a lower rank within 30 s.

TestLeast failed before.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -74,7 +74,7 @@
 		if ctx.Err() != nil {
 			return x.over(ctx)
 		}
-		a := pick.Ask{Pool: x.pool, Rank: x.rank, Prompt: &x.head.Prompt, GapAim: x.route.GapAim, Avoid: x.avoid}
+		a := pick.Ask{Pool: x.pool, Rank: x.rank, Lowest: x.table.LowestRank(name), Prompt: &x.head.Prompt, GapAim: x.route.GapAim, Avoid: x.avoid}
 		c, ok := x.s.Picker.Choose(time.Now(), x.s.Roster().Pool(name), a)
 		if !ok {
 			return x.giveUp("no upstream of %s is left to try", name)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -40,6 +40,7 @@
 type Ask struct {
 	Pool   *route.Pool
 	Rank   int
+	Lowest int // Lowest is the least urgent rank that a request for the pool may have.
 	Prompt *request.Prompt
 	GapAim time.Duration   // GapAim is the longest pause between events that is on time; zero if there is none.
 	Avoid  map[string]bool // Avoid holds the upstreams that have failed the request.
@@ -50,7 +51,7 @@
 	Upstream  *route.Upstream
 	Predicted time.Duration // Predicted is the time to the first token.
 	Wait      time.Duration // Wait is the part of Predicted that earlier requests cause.
-	Least     bool          // Least tells that no less urgent request for the pool was seen lately.
+	Least     bool          // Least tells that there is no less urgent request for the pool.
 	Missing   int           // Missing counts the prompt's tokens that the upstream has to read.
 	Running   int           // Running counts the requests that are known to run there.
 	Pending   int           // Pending counts the tokens known to be read there before.
@@ -84,7 +85,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
-	least := p.pool(a.Pool.Name).least(now, a.Rank)
+	least := p.pool(a.Pool.Name).least(now, a.Rank, a.Lowest)
 	var homes [homes]string
 	if a.Pool.Engine != nil && !p.held(candidates, a.Prompt) {
 		homes = findHomes(candidates, a.Prompt)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -211,20 +211,33 @@
 	}
 }
 
-// TestLeast tells the requests of the lowest rank that was asked for lately, and
-// how long others make a request wait.
+// TestLeast tells the requests of the lowest rank: the one that the configuration
+// knows, or that of many requests of which none was less urgent.
 func TestLeast(t *testing.T) {
 	us, now, p := upstreams(1), time.Unix(1000, 0), newPicker()
-	for _, c := range []struct {
-		after time.Duration
-		rank  int
-		least bool
-	}{{0, 1, true}, {0, 4, true}, {time.Second, 1, false}, {time.Second, 4, true}, {rankMemory, 1, true}} {
-		now = now.Add(c.after)
-		choice, ok := p.Choose(now, us, ask(7, 8, c.rank))
+	least := func(rank int) bool {
+		a := ask(7, 8, rank)
+		a.Lowest = 6
+		choice, ok := p.Choose(now, us, a)
 		assert.Assert(t, ok)
-		assert.Equal(t, choice.Least, c.least, "rank %d", c.rank)
+		return choice.Least
+	}
+	assert.Assert(t, least(6))
+	now = now.Add(rankMemory)
+	for range manyAsks - 2 {
+		assert.Assert(t, !least(4), "the lowest rank may come yet")
 	}
+	assert.Assert(t, least(4))
+	assert.Assert(t, !least(1))
+	assert.Assert(t, least(6))
+	assert.Assert(t, !least(4))
+	now = now.Add(rankMemory)
+	assert.Assert(t, least(1))
+}
+
+// TestWait tells how long others make a request wait, whatever its own size.
+func TestWait(t *testing.T) {
+	us, now, p := upstreams(1), time.Unix(1000, 0), newPicker()
 	first, _ := p.Choose(now, us, ask(7, 8, 1))
 	assert.Equal(t, first.Wait, time.Duration(0))
 	p.Begin(now, ask(7, 8, 1), first)
@@ -233,5 +246,5 @@
 	large := ask(7, 10, 1)
 	large.Prompt.Tokens += 40000
 	third, _ := p.Choose(now, us, large)
-	assert.Equal(t, third.Wait, second.Wait, "the own size does not count")
+	assert.Equal(t, third.Wait, second.Wait)
 }
--- a/pick/state.go
+++ b/pick/state.go
@@ -13,6 +13,7 @@
 	failStep      = 0.25                   // failStep is the weight of one outcome.
 	slowest       = 12                     // slowest bounds the slowness.
 	maxRank       = 10
+	manyAsks      = 100              // manyAsks is the requests after which a rank that none of them had counts as unused.
 	rankMemory    = 30 * time.Second // rankMemory is how long a rank counts as asked for.
 	lowerRankWork = 0.3              // lowerRankWork is the share of less urgent work that still delays a request.
 )
@@ -147,6 +148,7 @@
 	hold     float64 // hold is the seconds that a request occupies a place.
 
 	asked [maxRank]time.Time // asked is when a request of the rank last came.
+	asks  int                // asks counts the requests.
 
 	paced   bool
 	paceLog float64   // paceLog is the logarithm of the seconds between events.
@@ -193,15 +195,19 @@
 	l.hold += learnStep * (took - l.hold)
 }
 
-// least notes a request of the rank and reports whether no less urgent one came
-// lately.
-func (l *learned) least(now time.Time, rank int) bool {
+// least notes a request of the rank and reports whether there is none that is
+// less urgent: by the configuration, or since none came among many requests.
+func (l *learned) least(now time.Time, rank, lowest int) bool {
 	rank = min(max(rank, 0), maxRank-1)
 	l.asked[rank] = now
+	l.asks++
+	if rank >= min(lowest, maxRank-1) {
+		return true
+	}
 	for _, at := range l.asked[rank+1:] {
 		if now.Sub(at) < rankMemory {
 			return false
 		}
 	}
-	return true
+	return l.asks >= manyAsks
 }
--- a/route/route.go
+++ b/route/route.go
@@ -100,6 +100,7 @@
 
 	byHost map[string][]*Route
 	ranks  map[urgency]int
+	lowest map[string]int // lowest holds the least urgent rank by pool.
 
 	lastRank int // lastRank is the least urgent rank of an organisation.
 }
@@ -184,6 +185,32 @@
 			t.ranks[u] = i * Ranks / len(all)
 		}
 	}
+	t.indexLowest()
+}
+
+// indexLowest finds the least urgent rank that a request for each pool may have.
+func (t *Table) indexLowest() {
+	organisations := map[*Organisation]bool{nil: true}
+	for _, o := range t.Keys {
+		organisations[o] = true
+	}
+	t.lowest = map[string]int{}
+	for _, r := range t.Routes {
+		rank := 0
+		for o := range organisations {
+			if o != nil || r.Open || !t.Closed {
+				rank = max(rank, t.RankOf(r, o))
+			}
+		}
+		for _, target := range r.Targets {
+			t.lowest[target.Pool] = max(t.lowest[target.Pool], rank)
+		}
+	}
+}
+
+// LowestRank returns the least urgent rank that a request for the pool may have.
+func (t *Table) LowestRank(pool string) int {
+	return t.lowest[pool]
 }
 
 // RankOf returns the rank of a request of the organisation on a route, 0 for the
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -41,3 +41,18 @@
 	}
 	assert.Equal(t, last, Ranks-1)
 }
+
+// TestLowestRank finds the least urgent rank of each pool, over all
+// organisations that may call it.
+func TestLowestRank(t *testing.T) {
+	urgent, usual := &Organisation{Rank: 0, HasRank: true}, &Organisation{Rank: 4, HasRank: true}
+	to := func(pool string, rank int) *Route { return &Route{Rank: rank, Targets: []Target{{Pool: pool}}} }
+	table := &Table{
+		Closed: true, Keys: map[string]*Organisation{"a": urgent, "b": usual},
+		Routes: []*Route{to("model", 0), to("model", 2), to("calls", 1)},
+	}
+	table.Index()
+	assert.Equal(t, table.LowestRank("model"), table.RankOf(table.Routes[1], usual))
+	assert.Equal(t, table.LowestRank("calls"), table.RankOf(table.Routes[2], usual))
+	assert.Assert(t, table.LowestRank("calls") < table.LowestRank("model"))
+}
