--- a/soak/caller.go
+++ b/soak/caller.go
@@ -47,11 +47,6 @@
 	{name: "once", path: "/once/", repeat: "stream", service: "model", attempts: 1, timeout: 10 * time.Second},
 }
 
-// once reports whether a request of the kind may run once only.
-func (k kind) once() bool {
-	return k.repeat == "unsafe" || (k.repeat == "stream" && !k.resumable)
-}
-
 func (k kind) route(path string) map[string]any {
 	return map[string]any{
 		"name": strings.Trim(path, "/"), "host": host, "path_prefix": path, "kind": k.repeat, "resumable": k.resumable,
@@ -75,7 +70,6 @@
 	header     http.Header
 	body       string
 	err        error // err tells that the answer ended early or never came.
-	reused     bool  // reused tells that the connection had served a request before.
 	took       time.Duration
 	terminated time.Time // terminated is when the node was told to stop, as of the end of the answer.
 	starts     int
--- a/soak/check.go
+++ b/soak/check.go
@@ -44,23 +44,14 @@
 
 // judge checks the answer to one request.
 func (w *world) judge(r request, id string, events int, a answer, left bool, starts int) {
-	how := fmt.Sprint(a.status)
-	switch {
-	case a.err != nil && left:
-		how = "left"
-	case a.err != nil && a.status == 0:
-		how = "no answer"
-	case a.err != nil:
-		how = "cut"
-	}
-	w.end(r.kind, how)
+	w.end(r.kind, a.how(left))
 	w.checked(ownAnswer)
 	switch {
 	case a.err == nil && a.status == http.StatusOK:
 		w.judgeSuccess(r, id, events, a)
 	case a.err == nil && promised(a.status):
 		w.judgeRefusal(r, id, a)
-	case a.err == nil && (a.status == http.StatusUnauthorized || a.status == http.StatusNotFound || a.status < http.StatusBadRequest):
+	case a.err == nil && denied(a.status):
 		w.broken(notDenied, "request %s (%s) to %s got %d %q", id, r.kind.name, r.node.name, a.status, a.body)
 	case a.err != nil && !left:
 		w.judgeCut(r, id, a, starts)
@@ -68,6 +59,24 @@
 	w.judgeTime(r, id, a, left)
 }
 
+// how names how a request ended.
+func (a answer) how(left bool) string {
+	switch {
+	case a.err != nil && left:
+		return "left"
+	case a.err != nil && a.status == 0:
+		return "no answer"
+	case a.err != nil:
+		return "cut"
+	}
+	return fmt.Sprint(a.status)
+}
+
+// denied reports whether a status says that a request is not proper.
+func denied(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusNotFound || status < http.StatusBadRequest
+}
+
 func (w *world) judgeSuccess(r request, id string, events int, a answer) {
 	want := "answer to " + id
 	if r.kind.service == "model" {
--- a/soak/world.go
+++ b/soak/world.go
@@ -49,7 +49,6 @@
 type upstream struct {
 	service string
 	link    *Link
-	server  *http.Server
 
 	mu        sync.Mutex
 	runner    *runner.Runner
@@ -80,8 +79,6 @@
 	storeCalm   time.Time          // storeCalm is since when the store is without faults; zero while it has some.
 	storeFaults int                // storeFaults counts the faults of the store that are in force.
 	overdue     int                // overdue counts the answers that came long after their time.
-	harmed      int                // harmed counts the faults of upstreams that are in force.
-	harmEnd     time.Time          // harmEnd is when the last of them ended.
 	sent        map[string]request // sent are the requests by ID.
 	refused     map[string]string  // refused holds what was said of requests that were refused as not run.
 }
@@ -302,13 +299,6 @@
 	w.broken("own ends", "%s ended by itself: %v", n.name, err)
 }
 
-// between returns a random time.
-func (w *world) between(least, most time.Duration) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return least + time.Duration(w.rnd.Int64N(int64(most-least)))
-}
-
 // pick returns a random number below n.
 func (w *world) pick(n int) int {
 	w.mu.Lock()
