--- a/picture/recall.go
+++ b/picture/recall.go
@@ -1,9 +1,11 @@
 package picture
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,7 +49,8 @@
 		if len(live) == 0 || r == nil {
 			continue
 		}
-		m := live[rand.IntN(len(live))]
+		elders := olderHalf(live)
+		m := elders[rand.IntN(len(elders))]
 		placed, err := s.ask(ctx, m.Peer)
 		if err != nil {
 			s.Log.WithFields(logrus.Fields{"Peer": m.Name, "Error": err.Error()}).Warn("where prompt parts lie was not learned")
@@ -63,6 +66,13 @@
 	}
 }
 
+// olderHalf returns the members that started first, half of all: those that
+// started together with this instance have learned little yet.
+func olderHalf(members []member.Member) []member.Member {
+	slices.SortFunc(members, func(a, b member.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return members[:(len(members)+1)/2]
+}
+
 func (s *Service) ask(ctx context.Context, address string) ([]pick.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
