Work out what a datagram and a choice need once, not for each of thousands of upstreams

Each datagram (60 a second) hashed the IDs of all upstreams and went through all of their states; each choice hashed all IDs and took the pace of each upstream from all peers' reports.

Change: hashes by roster and by incarnation; counts of a peer are found by a list; a pace is worked out anew after 0.2 s; nothing is raised to a power where there is nothing to decay. No decision changes but for a pace that may be 0.2 s old.

--- a/pick/lease.go
+++ b/pick/lease.go
@@ -195,18 +195,21 @@
 func (p *Picker) Told(now time.Time, from string, reports []Report, placed []Placement, memory func(upstream string) (int, bool)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.states {
+	for _, s := range p.counted[from] {
 		delete(s.peers, from)
 	}
+	counted := p.counted[from][:0]
 	for _, r := range reports {
 		if s := p.states[r.Upstream]; s != nil {
 			r.Counts.At = now
 			s.peers[from] = r.Counts
+			counted = append(counted, s)
 			if r.Paced {
 				s.paces[from] = pace{log: r.Pace, at: now}
 			}
 		}
 	}
+	p.counted[from] = counted
 	for _, pl := range placed {
 		s := p.states[pl.Upstream]
 		if m, ok := memory(pl.Upstream); s != nil && ok {
--- a/pick/pace.go
+++ b/pick/pace.go
@@ -7,16 +7,17 @@
 )
 
 const (
-	paceStep       = 0.3              // paceStep is the weight of one stream in the pace of its upstream.
-	paceHalfLife   = 12 * time.Second // paceHalfLife is how fast an upstream's pace is forgotten.
-	paceLifetime   = 4 * time.Second  // paceLifetime is how long peers are told of a pace.
-	poolPaceStep   = 0.05             // poolPaceStep is the weight of one stream in the pace of its pool.
-	leastWeight    = 0.05             // leastWeight is the weight below which a peer's pace is dropped.
-	widestPace     = 1.0              // widestPace bounds the logarithm of an upstream's pace.
-	maxIntervals   = 32               // maxIntervals is how many times between events of one stream are kept.
-	leastIntervals = 4                // leastIntervals is how many of them tell a pace.
-	maxPauses      = 96               // maxPauses is how many streams' longest pauses a pool keeps.
-	leastPauses    = 12               // leastPauses is how many of them tell how often a pause is too long.
+	paceStep       = 0.3                    // paceStep is the weight of one stream in the pace of its upstream.
+	paceHalfLife   = 12 * time.Second       // paceHalfLife is how fast an upstream's pace is forgotten.
+	paceLifetime   = 4 * time.Second        // paceLifetime is how long peers are told of a pace.
+	pacePeriod     = 200 * time.Millisecond // pacePeriod is how long a pace is used until it is worked out anew.
+	poolPaceStep   = 0.05                   // poolPaceStep is the weight of one stream in the pace of its pool.
+	leastWeight    = 0.05                   // leastWeight is the weight below which a peer's pace is dropped.
+	widestPace     = 1.0                    // widestPace bounds the logarithm of an upstream's pace.
+	maxIntervals   = 32                     // maxIntervals is how many times between events of one stream are kept.
+	leastIntervals = 4                      // leastIntervals is how many of them tell a pace.
+	maxPauses      = 96                     // maxPauses is how many streams' longest pauses a pool keeps.
+	leastPauses    = 12                     // leastPauses is how many of them tell how often a pause is too long.
 )
 
 // pauses are the times between the events of one stream.
@@ -68,6 +69,13 @@
 // its pool, from what was seen here and at the peers. What is old counts little
 // against one stream at the usual pace.
 func (s *state) pace(now time.Time) float64 {
+	if now.Sub(s.pacedAt) >= pacePeriod {
+		s.paced, s.pacedAt = s.meanPace(now), now
+	}
+	return s.paced
+}
+
+func (s *state) meanPace(now time.Time) float64 {
 	sum, total := s.own.seen(now)
 	sum *= total
 	for name, p := range s.paces {
@@ -97,6 +105,7 @@
 		seen = s.own.log + paceStep*(seen-s.own.log)
 	}
 	s.own = pace{log: seen, at: now}
+	s.pacedAt = time.Time{}
 	l.pause(p.longest.Seconds() / s.pace(now))
 }
 
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -14,8 +14,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"knapweedwell/request"
 	"knapweedwell/route"
 )
@@ -63,19 +61,20 @@
 	Zone    string
 	Regions map[string]string // Regions are the regions by zone.
 
-	mu     sync.Mutex
-	states map[string]*state
-	pools  map[string]*learned
-	far    map[string]float64 // far holds the seconds to connect, by zone.
-	placed []Placement        // placed holds the parts sent out since the last report.
-	swept  time.Time
+	mu      sync.Mutex
+	states  map[string]*state
+	pools   map[string]*learned
+	far     map[string]float64  // far holds the seconds to connect, by zone.
+	counted map[string][]*state // counted holds the states with counts of a peer, by its name.
+	placed  []Placement         // placed holds the parts sent out since the last report.
+	swept   time.Time
 }
 
 // New returns a picker for an instance of the zone.
 func New(zone string, regions map[string]string) *Picker {
 	return &Picker{
 		Zone: zone, Regions: regions,
-		states: map[string]*state{}, pools: map[string]*learned{}, far: map[string]float64{},
+		states: map[string]*state{}, pools: map[string]*learned{}, far: map[string]float64{}, counted: map[string][]*state{},
 	}
 }
 
@@ -88,7 +87,7 @@
 	least := p.pool(a.Pool.Name).least(now, a.Rank, a.Lowest)
 	var homes [homes]string
 	if a.Pool.Engine != nil && !p.held(candidates, a.Prompt) {
-		homes = findHomes(candidates, a.Prompt)
+		homes = p.findHomes(now, candidates, a.Prompt)
 	}
 	var best, banned Choice
 	bestCost, bannedCost := math.Inf(1), math.Inf(1)
@@ -192,13 +191,13 @@
 // prompt while nobody is known to, by the hash of the last of them. So instances
 // agree without a message and find parts again after a restart; that there are
 // two leaves room for the less busy one.
-func findHomes(candidates []*route.Upstream, prompt *request.Prompt) [homes]string {
+func (p *Picker) findHomes(now time.Time, candidates []*route.Upstream, prompt *request.Prompt) [homes]string {
 	shared := prompt.Shared()
 	part := shared[len(shared)-1].ID
 	var best [homes]string
 	var top [homes]uint64
 	for _, u := range candidates {
-		id, h := u.ID, mix(xxhash.Sum64String(u.ID)^part)
+		id, h := u.ID, mix(p.state(now, u).hash^part)
 		for i := range best {
 			if best[i] == "" || h > top[i] {
 				best[i], id = id, best[i]
@@ -246,7 +245,7 @@
 func (p *Picker) state(now time.Time, u *route.Upstream) *state {
 	s := p.states[u.ID]
 	if s == nil || s.born != u.Born {
-		fresh := newState(u.Born)
+		fresh := newState(u.ID, u.Born)
 		if s != nil {
 			fresh.peers = s.peers
 		}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -173,6 +173,10 @@
 	}
 	c, _ := p.Choose(now, us, ask(7, 2, 0))
 	assert.Equal(t, c.Missing, 500)
+	p.Told(now, "other", []Report{{Upstream: "u-0", Counts: Counts{Running: 2}}}, nil, memory)
+	assert.Equal(t, p.states["u-0"].peerCounts(now).Running, 10)
+	p.Told(now, "other", nil, nil, memory)
+	assert.Equal(t, p.states["u-0"].peerCounts(now).Running, 8, "what a peer no longer tells is over")
 	later := now.Add(peerLifetime + time.Millisecond)
 	seen := map[string]bool{}
 	for n := range 40 {
--- a/pick/state.go
+++ b/pick/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,6 +23,7 @@
 // state is what is known of one incarnation of an upstream.
 type state struct {
 	born    int64
+	hash    uint64 // hash is that of the upstream's ID.
 	used    time.Time
 	cache   cache
 	running int          // running counts the requests sent from here.
@@ -32,19 +35,21 @@
 	headerRunning, headerWaiting int
 	headerAt                     time.Time
 
-	slow   float64 // slow is the logarithm of the ratio of seen to predicted times.
-	slowAt time.Time
-	fail   float64 // fail is the share of failures.
-	failAt time.Time
-	own    pace            // own is the pace that was seen here.
-	paces  map[string]pace // paces are those that peers have seen.
+	slow    float64 // slow is the logarithm of the ratio of seen to predicted times.
+	slowAt  time.Time
+	fail    float64 // fail is the share of failures.
+	failAt  time.Time
+	own     pace            // own is the pace that was seen here.
+	paces   map[string]pace // paces are those that peers have seen.
+	paced   float64         // paced is the pace as it was last worked out.
+	pacedAt time.Time
 
 	bans        int // bans counts the failures to connect in a row.
 	bannedUntil time.Time
 }
 
-func newState(born int64) *state {
-	return &state{born: born, peers: map[string]Counts{}, paces: map[string]pace{}}
+func newState(id string, born int64) *state {
+	return &state{born: born, hash: xxhash.Sum64String(id), peers: map[string]Counts{}, paces: map[string]pace{}}
 }
 
 // Counts are what one instance knows of the requests that it has at an
@@ -100,6 +105,9 @@
 
 // slowness returns how much longer the upstream takes than predicted.
 func (s *state) slowness(now time.Time) float64 {
+	if s.slow == 0 {
+		return 1
+	}
 	return math.Exp(s.slow * decay(now.Sub(s.slowAt), slowHalfLife))
 }
 
@@ -112,6 +120,9 @@
 
 // failing returns the share of requests that the upstream is expected to fail.
 func (s *state) failing(now time.Time) float64 {
+	if s.fail == 0 {
+		return 0
+	}
 	return s.fail * decay(now.Sub(s.failAt), failHalfLife)
 }
 
--- a/picture/picture.go
+++ b/picture/picture.go
@@ -69,17 +69,19 @@
 	Ahead func(peerAddress string, version, changes int64)
 	Log   logrus.FieldLogger
 
-	conn     net.PacketConn
-	mu       sync.Mutex
-	heard    map[string]heard // heard holds what came last, by the sender's name.
-	number   uint64
-	turn     int              // turn is where the next round begins among the peers.
-	placed   []pick.Placement // placed holds the latest placements.
-	dropped  int              // dropped counts the placements that are no longer held.
-	told     map[string]int   // told counts the placements that each peer was told or missed.
-	sent     atomic.Int64
-	received atomic.Int64
-	group    background.Group
+	conn       net.PacketConn
+	mu         sync.Mutex
+	heard      map[string]heard // heard holds what came last, by the sender's name.
+	number     uint64
+	turn       int               // turn is where the next round begins among the peers.
+	placed     []pick.Placement  // placed holds the latest placements.
+	dropped    int               // dropped counts the placements that are no longer held.
+	ids        map[string]string // ids are the IDs of upstreams by their hashes.
+	identified *roster.Roster    // identified is the roster that ids belong to.
+	told       map[string]int    // told counts the placements that each peer was told or missed.
+	sent       atomic.Int64
+	received   atomic.Int64
+	group      background.Group
 }
 
 // Run starts to tell and to hear.
@@ -281,10 +283,7 @@
 		m.Reports, m.Placed = nil, nil
 		return
 	}
-	ids := make(map[string]string, len(r.Entries))
-	for id := range r.Entries {
-		ids[hash(id)] = id
-	}
+	ids := s.identify(r)
 	reports := m.Reports[:0]
 	for _, rep := range m.Reports {
 		if id, ok := ids[rep.Upstream]; ok {
@@ -302,6 +301,21 @@
 	m.Reports, m.Placed = reports, placed
 }
 
+// identify returns the IDs of a roster's upstreams by their hashes. They are
+// worked out once for each roster.
+func (s *Service) identify(r *roster.Roster) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.identified == r {
+		return s.ids
+	}
+	s.identified, s.ids = r, make(map[string]string, len(r.Entries))
+	for id := range r.Entries {
+		s.ids[hash(id)] = id
+	}
+	return s.ids
+}
+
 // hash returns the short form of an upstream's ID that datagrams carry.
 func hash(id string) string {
 	h := xxhash.Sum64String(id)
