Close a connection that is put back after its pool was closed

Callers saw nothing of this: a request that ended after the instance had closed its connection pool left its connection to the upstream open, with a timer, until the idle timeout.

Cause: the pool told an unused pool and a closed one apart by the same nil map, so Put made a new map and kept the connection.

Change: the pool records that it was closed. The field for the time from which a connection was idle had no reader and is removed.

TestPutAfterClose failed before the change (the connection was still open); package httpwire passes with -race.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -56,6 +56,7 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*Conn
+	closed bool
 	dialed atomic.Int64
 	reused atomic.Int64
 }
@@ -71,7 +72,6 @@
 	Reused    bool         // whether an earlier request was answered on the connection
 
 	idleTimeout time.Duration // how long the connection may be idle; zero once it has expired
-	idleFrom    time.Time     // when the connection last became idle
 	DialTime    time.Duration // time that connecting took
 	idleTimer   *time.Timer   // closes the connection once it was idle for idleTimeout
 }
@@ -176,22 +176,21 @@
 func (e *notSentError) Is(target error) bool { return target == ErrNotSent }
 
 // Put keeps a connection whose last answer was read completely. The connection is
-// closed instead if the upstream asked for that or has sent bytes that belong to no
-// request.
+// closed instead if the pool is closed, if the upstream asked for that, or if it has
+// sent bytes that belong to no request.
 func (p *ConnPool) Put(c *Conn, answer *http.Response) {
 	c.readKeepAlive(answer)
 	if answer.Close || c.idleTimeout < minIdleTimeout || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
-	c.idleFrom = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idle == nil || len(p.idle[c.upstream]) >= maxIdlePerUpstream {
-		if p.idle != nil {
-			c.Close()
-			return
-		}
+	if p.closed || len(p.idle[c.upstream]) >= maxIdlePerUpstream {
+		c.Close()
+		return
+	}
+	if p.idle == nil {
 		p.idle = map[string][]*Conn{}
 	}
 	p.idle[c.upstream] = append(p.idle[c.upstream], c)
@@ -241,11 +240,12 @@
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections. Connections that are put back later are closed.
 func (p *ConnPool) Close() error {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
+	p.closed = true
 	p.mu.Unlock()
 	for _, list := range idle {
 		for _, c := range list {
--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -214,3 +214,19 @@
 		p.Put(c, resp)
 	}
 }
+
+// TestPutAfterClose guards against connections that stay open after the pool was
+// closed while they were in use.
+func TestPutAfterClose(t *testing.T) {
+	address, _ := serve(t, false, okAnswer)
+	p := newPool()
+	c, err := p.Get(context.Background(), "peer", address, "a")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Send(&Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}))
+	resp, err := c.ReadResponse("GET")
+	assert.NilError(t, err)
+	assert.NilError(t, DiscardBody(resp, 10))
+	assert.NilError(t, p.Close())
+	p.Put(c, resp)
+	assert.Assert(t, errors.Is(c.raw.SetDeadline(time.Time{}), net.ErrClosed))
+}
