Send nothing to an upstream that has said in an answer that it leaves

What callers saw: nothing at once; their requests went on to an upstream that leaves until the store or a peer said so, and during an outage of the store or without contact to it until the upstream ended and cut them off.

Cause: an instance learned of a leaving upstream from the store and its peers only. The header Server-Leaving of answers was relayed and not read.

Change: package platform reads the header, except from a misdirected request, which another upstream has answered. The first such answer of any kind (success, failure, refusal, head of a stream) records the departure of this ID and start time in the roster before anything is relayed. The published roster shows the upstream as leaving whatever is listed, changed, removed and listed again or fetched later; the next incarnation starts clean. The existing check immediately before the send covers requests that were chosen, dialled or retried before. Idle connections to the upstream are closed. Statements are kept while the upstream is listed, ten minutes longer otherwise, and only until the removal of the entry if it states no start time. Peers are not told: each of them is bound by the answers that it relays itself.

Ruled out: the state of the balancer, which is deleted after 30 s without use and is not consulted before the send.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -183,6 +183,7 @@
 		Address:          i.Settings.Caller,
 		Table:            i.Routing.Current,
 		Roster:           i.Roster.Current,
+		RecordDeparture:  i.Roster.RecordDeparture,
 		StoreUnreachable: i.Roster.StoreUnreachable,
 		Picker:           i.picker,
 		Connections:      i.connections,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -39,9 +39,12 @@
 
 // Server serves callers. The exported fields are set before Run.
 type Server struct {
-	Address          string
-	Table            func() *route.Table
-	Roster           func() *roster.Roster
+	Address string
+	Table   func() *route.Table
+	Roster  func() *roster.Roster
+	// RecordDeparture records that an upstream has said that it leaves, and reports
+	// whether that was not known.
+	RecordDeparture  func(*route.Upstream) bool
 	StoreUnreachable func() bool // reports whether the store does not answer
 	Picker           *balancer.Picker
 	Connections      *httpwire.ConnPool
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -209,6 +209,16 @@
 	return res
 }
 
+// recordDeparture records that the upstream has said in its answer that it leaves.
+func (rs *requestState) recordDeparture() {
+	u := rs.choice.Upstream
+	if !rs.s.RecordDeparture(u) {
+		return
+	}
+	rs.s.Connections.CloseIdle(u.ID)
+	rs.s.Log.WithFields(logrus.Fields{"Upstream": u.ID, "Born": u.Born, "RequestID": rs.headers.ID}).Info("upstream says that it leaves")
+}
+
 // outgoing returns the request as it is sent to the upstream: the caller's
 // request without hop-by-hop headers and with the router's own headers.
 func (rs *requestState) outgoing(u *route.Upstream) *httpwire.Request {
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -126,9 +126,6 @@
 		t.rs.runs++
 		return broken{reason: err.Error()}
 	}
-	if headers.HasLoad {
-		t.attempt.Load(time.Now(), headers.Running, headers.Waiting)
-	}
 	if headers.NotRun {
 		t.skipBody()
 		return rejected{reason: t.resp.Status, moved: t.resp.StatusCode == http.StatusMisdirectedRequest}
@@ -150,6 +147,7 @@
 		t.resp = resp
 		headers := platform.ReadAnswerHeaders(resp.StatusCode, resp.Header)
 		if headers.ID == t.rs.headers.ID || (headers.ID == "" && headers.NotRun) {
+			t.observe(headers)
 			return headers, nil
 		}
 		t.keep = false
@@ -164,6 +162,17 @@
 	return platform.AnswerHeaders{}, errors.New("the connection carries answers to other requests")
 }
 
+// observe records what the upstream says of itself in the head of its answer.
+func (t *transfer) observe(headers platform.AnswerHeaders) {
+	if headers.HasLoad {
+		t.attempt.Load(time.Now(), headers.Running, headers.Waiting)
+	}
+	if headers.Leaving {
+		t.keep = false
+		t.rs.recordDeparture()
+	}
+}
+
 // relayAnswer checks and relays the answer of an upstream that ran the request.
 func (t *transfer) relayAnswer(headers platform.AnswerHeaders) result {
 	status := t.resp.StatusCode
--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -28,6 +28,9 @@
 type entryList struct {
 	entries  map[string]*route.Upstream
 	retained map[string]bool // entries that are used although the store does not list them
+	// departures are the statements that upstreams have made to this instance, by their
+	// IDs. They hold whatever the store and the peers list.
+	departures map[string]departure
 	// mark rises with each change. It is the revision of the store, shifted by
 	// localMarkBits, plus the number of local changes since that revision.
 	mark          int64
@@ -43,7 +46,7 @@
 }
 
 func newEntryList() *entryList {
-	return &entryList{entries: map[string]*route.Upstream{}, retained: map[string]bool{}}
+	return &entryList{entries: map[string]*route.Upstream{}, retained: map[string]bool{}, departures: map[string]departure{}}
 }
 
 // storeReturned starts a retention period. It is called when the store answers
@@ -85,7 +88,7 @@
 func (l *entryList) detectExpiry(now time.Time, gone []string) {
 	expired := 0
 	for _, id := range gone {
-		if e := l.entries[id]; e != nil && !e.Leaving && !l.retained[id] {
+		if e := l.entries[id]; e != nil && !l.leaves(e) && !l.retained[id] {
 			expired++
 		}
 	}
@@ -185,7 +188,7 @@
 	if e == nil {
 		return false
 	}
-	if now.Before(l.retainUntil) && !e.Leaving {
+	if now.Before(l.retainUntil) && !l.leaves(e) {
 		l.retained[id] = true
 		return false
 	}
@@ -195,6 +198,10 @@
 
 // deleteEntry deletes an entry and logs the change.
 func (l *entryList) deleteEntry(id string) {
+	if e := l.entries[id]; e != nil && e.Born == 0 {
+		// Its next incarnation could not be told from this one.
+		delete(l.departures, id)
+	}
 	delete(l.entries, id)
 	delete(l.retained, id)
 	l.logChange(id)
@@ -216,6 +223,11 @@
 func (l *entryList) snapshot() *Roster {
 	entries := make(map[string]*route.Upstream, len(l.entries))
 	for id, e := range l.entries {
+		if l.leaves(e) && !e.Leaving {
+			leaving := *e
+			leaving.Leaving = true
+			e = &leaving
+		}
 		entries[id] = e
 	}
 	return newRoster(l.mark, entries)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,6 +1,6 @@
 // Package roster maintains the list of upstreams that register themselves in the
 // platform's store. It follows the store and the peers, stops using an upstream
-// that leaves, and retains entries that expire in an outage of the store for a
+// that leaves according to the store or to one of its own answers, and retains entries that expire in an outage of the store for a
 // retention period.
 package roster
 
--- a/roster/service.go
+++ b/roster/service.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// RecordDeparture records that an upstream has said itself that it leaves. It is not
+// used again in this incarnation, whatever the store and the peers list. It reports
+// whether that was not known.
+func (s *Service) RecordDeparture(u *route.Upstream) bool {
+	fresh := false
+	s.update(false, func(l *entryList) bool {
+		fresh = l.recordDeparture(time.Now(), u)
+		return fresh
+	})
+	return fresh
+}
+
 func (s *Service) storeReturned() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -225,8 +225,13 @@
 
 // putEntry writes the entry of an upstream to the store.
 func (sim *routeSimulation) putEntry(id, service, state string) {
+	sim.putEntryBorn(id, service, state, 1, 8)
+}
+
+// putEntryBorn writes the entry of an upstream that was started at the given time.
+func (sim *routeSimulation) putEntryBorn(id, service, state string, born, slots int) {
 	sim.store.Put("servers", id, map[string]any{
-		"service": service, "address": sim.hosts[id] + ":80", "zone": "z0", "version": "v1", "slots": 8, "state": state, "born": 1,
+		"service": service, "address": sim.hosts[id] + ":80", "zone": "z0", "version": "v1", "slots": slots, "state": state, "born": born,
 	})
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -28,6 +28,7 @@
 	signatureHeader = "X-Knapweedwell-Response-Signature"
 	notRunHeader    = "X-Knapweedwell-Not-Executed"
 	loadHeader      = "X-Knapweedwell-Server-Load"
+	leavingHeader   = "Server-Leaving"
 	lastEventHeader = "Last-Event-Id"
 )
 
@@ -36,6 +37,7 @@
 	Full       bool          // refuses requests without running them
 	Failing    bool          // runs requests and answers with status 500
 	Unsigned   bool          // omits the signature header
+	Leaving    bool          // says in all answers that it leaves
 	Twice      bool          // repeats each answer in place of the one to the next request
 	Silent     bool          // runs requests and does not answer
 	DropAnswer bool          // runs requests and closes the connection
@@ -184,6 +186,9 @@
 	id := req.Header.Get(idHeader)
 	f := r.record(req, body)
 	w.Header().Set(instanceHeader, r.ID)
+	if f.Leaving {
+		w.Header().Set(leavingHeader, "1")
+	}
 	switch {
 	case req.Header.Get(expectedHeader) != r.ID:
 		w.WriteHeader(http.StatusMisdirectedRequest)
