Pause a period after a periodic run that took longer

Seen: the contact check of an instance that is cut off from the platform takes longer than its period. Its ticker was then due when the run ended, so that the next call went out at once.

Change: Every resets its ticker after such a run. The next run follows a period later.

Test: TestNoRunAtOnceAfterLongRun; before the change a second run began at once (2.5 s instead of 3.5 s).

--- a/background/background.go
+++ b/background/background.go
@@ -59,7 +59,8 @@
 	}()
 }
 
-// Every runs f once a period in a new goroutine until the group's context ends.
+// Every runs f once a period in a new goroutine until the group's context ends. A run
+// that has taken a period or longer is followed by a pause of one period.
 func (g *Group) Every(period time.Duration, f func(ctx context.Context, now time.Time)) {
 	g.Go(func(ctx context.Context) {
 		ticker := time.NewTicker(period)
@@ -70,6 +71,9 @@
 				return
 			case now := <-ticker.C:
 				f(ctx, now)
+				if time.Since(now) >= period {
+					ticker.Reset(period)
+				}
 			}
 		}
 	})
