Wait in the stand-ins without timers that are due at once

Seen: go test -race ./simulation sometimes ended inside the race detector: "ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346", or SIGSEGV in runtime.(*timer).maybeRunChan.

In a synctest bubble, a goroutine that starts a timer that is due, or waits for the channel of one that has become due while it did not wait, runs the timer itself. With -race it does so with the one race context of the bubble's timers (unlockAndRun uses bubble.timers.raceCtx), which several threads then use at once. A test of ten lines shows it: eight goroutines of one bubble that each receive from time.NewTimer(0) in a loop ended with that CHECK or a SIGSEGV in 10 of 10 runs. 400 goroutines whose timers are due at the same instant while they wait passed 5 of 5 runs: neither the number of goroutines nor that of timers brings it about.

Counted in a whole run of the simulation with a copy of the runtime that prints such timers: 1472, in the upstream stand-in (pauses of length zero), in the watch of the platform stand-in (woken at the instant of its timeout) and in background.Group.Every after a run longer than its period. The stack of the SIGSEGV was that of the watch.

Change: both stand-ins wait for a context with a timeout. Its timer has no channel, so that only the bubble's scheduler runs it, and none is started for a duration of zero. The tests are unchanged.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"sort"
@@ -267,8 +268,8 @@
 		http.Error(w, "watch and wait_ms must be whole numbers", http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWait))
-	defer timer.Stop()
+	wait, cancel := context.WithTimeout(r.Context(), min(time.Duration(ms)*time.Millisecond, maxWait))
+	defer cancel()
 	for expired := false; ; {
 		if s.watchesBlocked() && !expired {
 			// The watch does not answer until the client closes the connection.
@@ -286,9 +287,10 @@
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-wait.Done():
 			expired = true
-		case <-r.Context().Done():
+		}
+		if r.Context().Err() != nil {
 			return
 		}
 	}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -194,11 +195,8 @@
 		return
 	}
 	defer r.begin(id)()
-	select {
-	case <-req.Context().Done():
-		r.recordDisconnect()
+	if !r.pause(req.Context(), f.Delay) {
 		return
-	case <-time.After(f.Delay):
 	}
 	r.answer(w, req, f, id)
 }
@@ -282,15 +280,25 @@
 		}
 		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", k, k, id)
 		_ = controller.Flush()
-		select {
-		case <-req.Context().Done():
-			r.recordDisconnect()
+		if !r.pause(req.Context(), f.Pause) {
 			return
-		case <-time.After(f.Pause):
 		}
 	}
 }
 
+// pause waits for a duration. It returns false, and counts the request, if its client
+// disconnects before.
+func (r *Runner) pause(ctx context.Context, d time.Duration) bool {
+	wait, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-wait.Done()
+	if ctx.Err() != nil {
+		r.recordDisconnect()
+		return false
+	}
+	return true
+}
+
 // answerTwice answers the requests of a connection. After each further request,
 // it repeats the previous answer, which the client takes for the answer to that
 // request, and then sends the answer itself.
