Keep the pause that an upstream states in Retry-After of a 503

What callers saw: an upstream that answered 503 with Retry-After got further requests from the same instance at once and refused them, so that a request lost one of its three tries, and the upstream was loaded when it had asked not to be.

Cause: Retry-After of an upstream was not read. A refusal only made the upstream look full for 0.4 s.

Change: package platform reads the time, in seconds with a fraction, from any 503, whether the request has run or not; the outcome of that request stays as it was. What is not a positive finite number (dates too) is ignored. The picker pauses this incarnation of the upstream up to the latest end stated, counts it as no failure, tells no peer, and never chooses it meanwhile, unlike one that is excluded after failed connections. The state of a paused upstream is not swept. Requests that were chosen before are checked again immediately before the send. If all upstreams of a pool are paused, a request that has not run is refused with the end of the first pause as Retry-After.

The pause is bounded at five minutes: a stated time of minutes is honoured whole, and a senseless one (1e300) does not lock an upstream out for the life of the instance; after five minutes one request asks again. Ignoring long values instead would send requests that the upstream does not want.

--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -88,6 +88,7 @@
 	peerStates     map[string][]*state // states that hold counts of a peer, by its name
 	placements     []Placement         // parts sent to upstreams since the last report
 	sweptAt        time.Time
+	lastPauseEnd   time.Time // no upstream is paused from then on
 }
 
 // New returns a picker for an instance of the zone.
@@ -100,7 +101,7 @@
 
 // Choose returns the candidate with the lowest cost that is not in r.Avoid, or
 // false if there is none. An upstream that is excluded after a failure to connect
-// is chosen only if there is no other.
+// is chosen only if there is no other; one that is paused is never chosen.
 func (p *Picker) Choose(now time.Time, candidates []*route.Upstream, r Request) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,6 +111,7 @@
 	if r.Pool.Engine != nil {
 		p.updateReservation(now, &stats.reservation, candidates)
 	}
+	candidates = p.unpaused(now, candidates)
 	var preferred [preferredCount]string
 	if r.Pool.Engine != nil && !p.anyHolds(candidates, r.Prompt) {
 		preferred = p.preferredByHash(now, candidates, r)
@@ -309,14 +311,14 @@
 }
 
 // sweep deletes the states of upstreams that have not been candidates for
-// stateLifetime.
+// stateLifetime, unless they are paused.
 func (p *Picker) sweep(now time.Time) {
 	if now.Sub(p.sweptAt) < stateLifetime {
 		return
 	}
 	p.sweptAt = now
 	for id, s := range p.states {
-		if now.Sub(s.usedAt) > stateLifetime && s.running == 0 {
+		if now.Sub(s.usedAt) > stateLifetime && s.running == 0 && !now.Before(s.pausedUntil) {
 			delete(p.states, id)
 		}
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -47,6 +47,8 @@
 
 	exclusions    int // consecutive exclusions
 	excludedUntil time.Time
+
+	pausedUntil time.Time // the upstream wants no request before
 }
 
 func newState(id string, born int64) *state {
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -161,7 +161,17 @@
 		f.Status = http.StatusBadGateway
 		return f
 	}
-	return request.Unavailable(format, args...).WithRetryAfter(notRunRetryAfter)
+	return request.Unavailable(format, args...).WithRetryAfter(rs.retryAfter())
+}
+
+// retryAfter returns the time after which a request that no upstream ran may be
+// sent again: the end of the first pause if all upstreams of the pool have asked for one.
+func (rs *requestState) retryAfter() time.Duration {
+	left, ok := rs.s.Picker.PauseLeft(time.Now(), rs.s.Roster().Pool(rs.pool.Name))
+	if ok {
+		return left
+	}
+	return notRunRetryAfter
 }
 
 // contextDone returns the failure of a request whose caller has disconnected or
@@ -195,6 +205,11 @@
 		attempt.End(time.Now(), balancer.Abandoned)
 		return notSent{reason: "the upstream has begun to leave"}
 	}
+	if attempt.Paused(time.Now()) {
+		conn.Close()
+		attempt.End(time.Now(), balancer.Abandoned)
+		return notSent{reason: "the upstream has asked for a pause"}
+	}
 	rs.s.Check.Check(invariant.AtMostOnce, rs.route.Repeatable() || rs.runs == 0,
 		"request %s may run once only and is sent after %d runs", rs.headers.ID, rs.runs)
 	stop := context.AfterFunc(ctx, conn.Interrupt)
@@ -219,6 +234,13 @@
 	rs.s.Log.WithFields(logrus.Fields{"Upstream": u.ID, "Born": u.Born, "RequestID": rs.headers.ID}).Info("upstream says that it leaves")
 }
 
+// logPause logs that the upstream wants no further request for the given time.
+func (rs *requestState) logPause(d time.Duration) {
+	rs.s.Log.WithFields(logrus.Fields{
+		"Upstream": rs.choice.Upstream.ID, "Millis": d.Milliseconds(), "RequestID": rs.headers.ID,
+	}).Info("upstream asks for a pause")
+}
+
 // outgoing returns the request as it is sent to the upstream: the caller's
 // request without hop-by-hop headers and with the router's own headers.
 func (rs *requestState) outgoing(u *route.Upstream) *httpwire.Request {
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -167,6 +167,9 @@
 	if headers.HasLoad {
 		t.attempt.Load(time.Now(), headers.Running, headers.Waiting)
 	}
+	if headers.RetryAfter > 0 && t.attempt.Pause(time.Now(), headers.RetryAfter) {
+		t.rs.logPause(headers.RetryAfter)
+	}
 	if headers.Leaving {
 		t.keep = false
 		t.rs.recordDeparture()
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -35,7 +36,9 @@
 // Faults holds the faults that are injected.
 type Faults struct {
 	Full       bool          // refuses requests without running them
-	Failing    bool          // runs requests and answers with status 500
+	Failing    bool          // runs requests and answers with FailStatus
+	FailStatus int           // zero means 500
+	RetryAfter string        // Retry-After of refusals and failures
 	Unsigned   bool          // omits the signature header
 	Leaving    bool          // says in all answers that it leaves
 	Twice      bool          // repeats each answer in place of the one to the next request
@@ -194,6 +197,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case f.Full || id == "":
+		setRetryAfter(w.Header(), f)
 		w.Header().Set(notRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -208,6 +212,13 @@
 	r.answer(w, req, f, id)
 }
 
+// setRetryAfter sets the Retry-After of a refusal or failure.
+func setRetryAfter(h http.Header, f Faults) {
+	if f.RetryAfter != "" {
+		h.Set("Retry-After", f.RetryAfter)
+	}
+}
+
 // record stores a request and returns the injected faults.
 func (r *Runner) record(req *http.Request, body []byte) Faults {
 	r.mu.Lock()
@@ -258,7 +269,8 @@
 	events := req.URL.Query().Get("events")
 	switch {
 	case f.Failing:
-		http.Error(w, "failed "+id, http.StatusInternalServerError)
+		setRetryAfter(h, f)
+		http.Error(w, "failed "+id, cmp.Or(f.FailStatus, http.StatusInternalServerError))
 	case events != "":
 		r.stream(w, req, f, id, events)
 	case f.Twice:
