Log and count the requests that are cut off, with the cause

Operators of a large site reported a request that was accepted and ended without an answer, and nothing else. The lines of a request did not tell why its connection was aborted, and a request that was in progress when its instance left had no line at all.

A request whose answer is not completed now has a line "request cut off" with its cause (upstream, silence, deadline, stop), and knapweedwell_cut_off_total counts them. The lines about an upstream say whether the router interrupted it.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -54,13 +54,14 @@
 	server  *webserver.Server
 	leaving atomic.Pointer[time.Time] // start of the planned stop, nil before it
 	mu      sync.Mutex
-	active  int       // number of requests in progress
-	lastEnd time.Time // when a request last ended
+	active  map[*requestState]bool // requests in progress
+	lastEnd time.Time              // when a request last ended
 }
 
 // Run starts listening.
 func (s *Server) Run(*kernel.Kernel) error {
 	s.lastEnd = time.Now()
+	s.active = map[*requestState]bool{}
 	s.server = &webserver.Server{
 		Address: s.Address, Handler: s, Listen: s.Listen,
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -82,9 +83,25 @@
 }
 
 // Shutdown closes the listener and waits until the requests on the connections that
-// were accepted before are answered, or the context ends.
+// were accepted before are answered, or the context ends. It then logs the requests
+// that are still in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.server.Shutdown(ctx)
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.logCutOff(time.Now())
+	}
+	return err
+}
+
+// logCutOff logs and counts the requests in progress, which the end of the process
+// cuts off.
+func (s *Server) logCutOff(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for rs := range s.active {
+		s.Metrics.ObserveCutOff(string(cutByStop))
+		s.Log.WithFields(logrus.Fields{"RequestID": rs.headers.ID, "Cause": cutByStop, "Millis": now.Sub(rs.arrived).Milliseconds()}).Warn("request cut off")
+	}
 }
 
 // Busy returns the number of requests in progress and the time since a request
@@ -92,30 +109,30 @@
 func (s *Server) Busy(now time.Time) (int, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.active, now.Sub(s.lastEnd)
+	return len(s.active), now.Sub(s.lastEnd)
 }
 
-func (s *Server) requestStarted() {
+func (s *Server) requestStarted(rs *requestState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active++
+	s.active[rs] = true
 }
 
-func (s *Server) requestEnded() {
+func (s *Server) requestEnded(rs *requestState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active--
+	delete(s.active, rs)
 	s.lastEnd = time.Now()
 }
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.requestStarted()
-	defer s.requestEnded()
+	rs := &requestState{s: s, w: w, r: r, control: http.NewResponseController(w), headers: platform.ReadRequestHeaders(r.Header), arrived: time.Now()}
+	s.requestStarted(rs)
+	defer s.requestEnded(rs)
 	if s.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	rs := &requestState{s: s, w: w, r: r, control: http.NewResponseController(w), headers: platform.ReadRequestHeaders(r.Header), arrived: time.Now()}
 	f := rs.admit()
 	if f == nil {
 		f = rs.serve()
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -58,6 +58,7 @@
 	firstByte   time.Duration   // from arrival to the start of the answer
 	choice      balancer.Choice // the picker's most recent choice
 	callerGone  bool            // whether the caller disconnected or an answer could not be written to it
+	interrupted bool            // whether the most recent upstream was interrupted because it was silent
 	reused      bool            // whether the most recent connection had served an earlier request
 }
 
@@ -202,7 +203,8 @@
 	unwatch := t.watchSilence()
 	res := t.roundTrip(rs.outgoing(u))
 	unwatch()
-	if !stop() || t.silent.Load() {
+	rs.interrupted = t.silent.Load()
+	if !stop() || rs.interrupted {
 		t.keep = false
 	}
 	t.finish(res)
@@ -272,8 +274,7 @@
 	switch {
 	case f == nil || rs.callerGone:
 	case rs.begun:
-		// Aborts the connection, so that the truncated answer does not look complete.
-		panic(http.ErrAbortHandler)
+		rs.abort(f)
 	default:
 		rs.status = f.Status
 		_ = rs.control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -281,6 +282,34 @@
 	}
 }
 
+// cutCause is the reason for which an answer that has begun is not completed.
+type cutCause string
+
+const (
+	cutAtDeadline cutCause = "deadline" // the time of the request has passed
+	cutBySilence  cutCause = "silence"  // the upstream was interrupted because it was silent
+	cutByUpstream cutCause = "upstream" // the upstream broke off
+	cutByStop     cutCause = "stop"     // the instance has left
+)
+
+// abort ends the connection of a request with the failure, so that the truncated
+// answer does not look complete.
+func (rs *requestState) abort(f *request.Failure) {
+	cause := cutByUpstream
+	switch {
+	case !time.Now().Before(rs.deadline):
+		cause = cutAtDeadline
+	case rs.interrupted:
+		cause = cutBySilence
+	}
+	rs.s.Metrics.ObserveCutOff(string(cause))
+	rs.s.Log.WithFields(logrus.Fields{
+		"RequestID": rs.headers.ID, "Route": rs.route.Name, "Cause": cause, "Events": rs.stream.events,
+		"Millis": time.Since(rs.arrived).Milliseconds(), "Reason": f.Message,
+	}).Warn("request cut off")
+	panic(http.ErrAbortHandler)
+}
+
 // record adds the request to the metrics and logs its end.
 func (rs *requestState) record(result string, f *request.Failure) {
 	whole := time.Since(rs.arrived)
@@ -322,6 +351,6 @@
 func (rs *requestState) warn(message, reason string) {
 	rs.s.Log.WithFields(logrus.Fields{
 		"RequestID": rs.headers.ID, "Route": rs.route.Name, "Upstream": rs.choice.Upstream.ID, "Sends": rs.sends, "Runs": rs.runs,
-		"Events": rs.stream.events, "KeptConnection": rs.reused, "Reason": reason,
+		"Events": rs.stream.events, "KeptConnection": rs.reused, "Interrupted": rs.interrupted, "Reason": reason,
 	}).Warn(message)
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -93,6 +93,11 @@
 	r.set.GetOrCreateHistogram(fmt.Sprintf(`knapweedwell_%s_seconds{%s=%q}`, name, label, value)).Update(d.Seconds())
 }
 
+// ObserveCutOff counts a request whose connection ends without a whole answer.
+func (r *Registry) ObserveCutOff(cause string) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`knapweedwell_cut_off_total{cause=%q}`, cause)).Inc()
+}
+
 // ObserveWaste counts the tokens of an answer that was cut off or discarded, and the
 // preemption if that was the cause.
 func (r *Registry) ObserveWaste(class string, tokens int, preempted bool) {
