Answer a request that was read on a connection that looks idle during a stop

What callers saw: a request on a kept connection to an instance that leaves is sent whole, read whole, and the connection ends without an answer.

Cause: Shutdown turned keep-alive off in net/http, which then closes each connection in state idle. A kept connection stays in that state until the head of its next request is parsed. An instance that waits for its processor between the read and the parse (these have a fifth of a core) closes requests that it has read. Class of fault: the state of a resource is judged from outside, by a state that lags behind what happened.

Ruled out: waiting longer for connections to become active, since a request may always be read just before the look; Shutdown of net/http, which drops such requests as well.

Change: the server's own connections record that bytes of a request were read and not answered. In a stop, a connection that owes nothing reads nothing more and ends by itself; one that owes an answer is waited for. Nothing is closed from outside while time is left.

--- a/simulation/edge_stop_test.go
+++ b/simulation/edge_stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -57,6 +58,102 @@
 	})
 }
 
+// TestStopAnswersKept sends requests on kept connections while the last connections of
+// a leaving instance end. It guards against requests that were read and whose
+// connection was closed as idle.
+func TestStopAnswersKept(t *testing.T) {
+	const (
+		callers   = 900
+		spacing   = time.Millisecond
+		readDelay = 30 * time.Millisecond
+		from      = 7 * time.Second // from the start of the stop
+	)
+	simulateRoutes(t, 2, func(sim *routeSimulation) {
+		kept := make([]*keptConn, callers)
+		for i := range kept {
+			kept[i] = sim.keep("10.1.0.1:1")
+			if !kept[i].call() {
+				t.Fatal("the instance does not answer before it leaves")
+			}
+		}
+		stopped := sim.instances[0]
+		sim.instances[0] = nil
+		sim.network.setReadDelay("10.1.0.1", readDelay)
+		start := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = stopped.Stop(context.Background())
+		}()
+		for time.Since(start) < from {
+			sim.callOnce("10.1.0.1:1", time.Second) // keeps the instance from leaving early
+			time.Sleep(100 * time.Millisecond)
+		}
+		var wg sync.WaitGroup
+		var answered, closed, lost atomic.Int32
+		for _, k := range kept {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				switch {
+				case k.call():
+					answered.Add(1)
+				case k.allRead():
+					lost.Add(1)
+				default:
+					closed.Add(1)
+				}
+			}()
+			time.Sleep(spacing)
+		}
+		wg.Wait()
+		<-done
+		if lost.Load() > 0 || answered.Load() == 0 || closed.Load() == 0 {
+			t.Errorf("%d answered, %d closed unread, %d read and closed; expected some, some and none", answered.Load(), closed.Load(), lost.Load())
+		}
+	})
+}
+
+// keptConn is a connection of a caller on which requests follow each other.
+type keptConn struct {
+	near   *conn
+	reader *bufio.Reader
+	sent   bool // whether the whole request was written
+}
+
+// keep opens a connection to an address.
+func (sim *routeSimulation) keep(address string) *keptConn {
+	dialled, err := sim.network.dialer("10.9.0.1")(context.Background(), "tcp", address)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	return &keptConn{near: dialled.(*conn), reader: bufio.NewReader(dialled)}
+}
+
+// call sends a request for a route that is not served and reports whether a whole
+// answer was received.
+func (k *keptConn) call() bool {
+	_, err := io.WriteString(k.near, "GET /none/1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token "+edgeKey+"\r\n\r\n")
+	k.sent = err == nil
+	if err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(k.reader, nil)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil
+}
+
+// allRead reports whether the other end has read all that was sent.
+func (k *keptConn) allRead() bool {
+	k.near.out.mu.Lock()
+	defer k.near.out.mu.Unlock()
+	return k.sent && k.near.out.buffered == 0
+}
+
 // callOnce connects to an address and sends a request for a route that is not served.
 // It reports whether the instance accepted the connection, and whether an answer was
 // received. A connection that was still in the queue of the listener is not accepted.
--- a/simulation/network_test.go
+++ b/simulation/network_test.go
@@ -33,6 +33,7 @@
 	cut       map[link]bool
 	regions   map[string]string
 	conns     map[*conn]bool
+	readDelay map[string]time.Duration // from a read to its return, by host
 	changed   chan struct{}
 }
 
@@ -42,6 +43,7 @@
 		cut:       map[link]bool{},
 		regions:   map[string]string{},
 		conns:     map[*conn]bool{},
+		readDelay: map[string]time.Duration{},
 		changed:   make(chan struct{}),
 	}
 }
@@ -160,6 +162,20 @@
 	}
 }
 
+// setReadDelay delays the return of each read at a host that has received bytes, as
+// on an instance that waits for its processor.
+func (n *network) setReadDelay(h string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.readDelay[h] = delay
+}
+
+func (n *network) delayAfterRead(h string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.readDelay[h]
+}
+
 // resetHost resets all connections of a host and closes its listeners.
 func (n *network) resetHost(h string) {
 	n.mu.Lock()
@@ -339,6 +355,7 @@
 			}
 			h.notify()
 			h.mu.Unlock()
+			time.Sleep(c.network.delayAfterRead(c.local))
 			return n, nil
 		case len(h.chunks) > 0:
 			until = h.chunks[0].arrival
--- a/webserver/webserver.go
+++ b/webserver/webserver.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,8 +38,9 @@
 	server   *http.Server
 	listener net.Listener
 	done     chan struct{} // closed when the server accepts no more connections
+	leaving  atomic.Bool   // whether each answer ends its connection
 	mu       sync.Mutex
-	conns    map[net.Conn]bool // connections in the states new and active
+	conns    map[*conn]bool // open connections
 }
 
 // Run starts listening and sets Address to the address in use.
@@ -49,9 +51,9 @@
 	}
 	s.Address = listener.Addr().String()
 	s.listener = listener
-	s.conns = map[net.Conn]bool{}
+	s.conns = map[*conn]bool{}
 	s.server = &http.Server{
-		Handler:           s.Handler,
+		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: cmp.Or(s.HeaderTimeout, headerTimeout),
 		IdleTimeout:       cmp.Or(s.IdleTimeout, idleTimeout),
 		MaxHeaderBytes:    cmp.Or(s.MaxHeaderBytes, maxHeaderBytes),
@@ -60,48 +62,84 @@
 	s.done = make(chan struct{})
 	go func() {
 		defer close(s.done)
-		_ = s.server.Serve(listener)
+		_ = s.server.Serve(&trackingListener{Listener: listener, server: s})
 	}()
 	return nil
 }
 
+// serve handles one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.Handler.ServeHTTP(w, r)
+}
+
 // Shutdown stops accepting connections and waits until all requests on those accepted
-// before are answered or the context ends. In the latter case it returns the context's
-// error. Shutdown of net/http is not used, because it drops a request that it reads
-// after its call, also on a connection that was accepted before.
+// before are answered or the context ends. In the latter case it returns an error that
+// wraps the context's. Shutdown of net/http is not used, because it drops a request
+// whose head it has not parsed yet.
 func (s *Server) Shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
 	<-s.done
-	s.server.SetKeepAlivesEnabled(false)
+	s.leaving.Store(true)
+	for _, c := range s.open() {
+		c.end()
+	}
 	ticker := time.NewTicker(shutdownPollPeriod)
 	defer ticker.Stop()
-	for s.busy() > 0 {
+	for {
+		n := len(s.open())
+		if n == 0 {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return errors.Wrapf(ctx.Err(), "%d connections are open", n)
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
-// setState records the state of a connection.
-func (s *Server) setState(c net.Conn, state http.ConnState) {
+// setState records that a request was answered, or that a connection has left the
+// server.
+func (s *Server) setState(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.answered()
+	case http.StateHijacked, http.StateClosed:
+		s.forget(c)
+	case http.StateNew, http.StateActive:
+	}
+}
+
+// remember adds an open connection.
+func (s *Server) remember(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateNew || state == http.StateActive {
-		s.conns[c] = true
-	} else {
-		delete(s.conns, c)
-	}
+	s.conns[c] = true
+}
+
+// forget removes a connection.
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
-// busy returns the number of connections that wait for their first request or have
-// one in progress.
-func (s *Server) busy() int {
+// open returns the open connections.
+func (s *Server) open() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
 }
 
 // Close closes all connections and waits until the server has stopped.
