Interrupt a silent upstream only if the request can be sent elsewhere

What callers saw: a stream of a sound but slow upstream (overloaded, or the request was preempted there) breaks off in the middle; a request without an answer yet gets 502.

Cause: after a silence the router interrupted the upstream in order to resume the request elsewhere, and only then asked for a retry. If the retry budget was spent, no other upstream was left, or the others refused as full, the answer that had begun was aborted. An instance spends only its own part of the budget: on a site of 76 instances the part of the slack is below one retry, and a fresh instance has none. Class of fault: something that works is given up before what replaces it is certain.

Ruled out: a longer limit for silence, which only makes it rarer; counting the interruption as an upstream's failure, which it is not.

Change: before the interruption the retry is taken from the budget and an upstream that is neither avoided nor excluded must be there; otherwise the router goes on waiting, until the deadline.

--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// HasUpstream reports whether one of the candidates is neither avoided nor excluded.
+func (p *Picker) HasUpstream(now time.Time, candidates []*route.Upstream, avoid map[string]bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range candidates {
+		if !avoid[u.ID] && !now.Before(p.state(now, u).excludedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose returns the candidate with the lowest cost that is not in r.Avoid, or
 // false if there is none. An upstream that is excluded after a failure to connect
 // is chosen only if there is no other.
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -58,7 +58,8 @@
 	firstByte   time.Duration   // from arrival to the start of the answer
 	choice      balancer.Choice // the picker's most recent choice
 	callerGone  bool            // whether the caller disconnected or an answer could not be written to it
-	interrupted bool            // whether the most recent upstream was interrupted because it was silent
+	interrupted bool            // whether the last upstream that may have run it was interrupted because it was silent
+	retryTaken  bool            // whether the budget has granted the next send already
 	reused      bool            // whether the most recent connection had served an earlier request
 }
 
@@ -78,18 +79,20 @@
 		if ctx.Err() != nil {
 			return rs.contextDone(ctx)
 		}
-		r := balancer.Request{
-			Pool: rs.pool, Rank: rs.rank, LowestRank: rs.table.LowestRank(name), Prompt: &rs.headers.Prompt,
-			GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, name), Avoid: rs.avoid,
-		}
+		r := rs.pickRequest()
 		c, ok := rs.s.Picker.Choose(time.Now(), rs.s.Roster().Pool(name), r)
-		if !ok {
-			return rs.giveUp("no upstream of %s is left to try", name)
+		if ok {
+			rs.choice = c
 		}
-		if rs.sends > 0 && !rs.s.Budget.AllowRetry(time.Now(), name) {
+		switch {
+		case ok && (rs.sends == 0 || rs.takeRetry()):
+		case rs.waitToResume(ctx):
+			continue
+		case !ok:
+			return rs.giveUp("no upstream of %s is left to try", name)
+		default:
 			return rs.giveUp("the retry budget is spent")
 		}
-		rs.choice = c
 		if f := rs.refuseOverload(); f != nil {
 			return f
 		}
@@ -99,6 +102,14 @@
 	}
 }
 
+// pickRequest returns the request as the picker sees it.
+func (rs *requestState) pickRequest() balancer.Request {
+	return balancer.Request{
+		Pool: rs.pool, Rank: rs.rank, LowestRank: rs.table.LowestRank(rs.pool.Name), Prompt: &rs.headers.Prompt,
+		GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, rs.pool.Name), Avoid: rs.avoid,
+	}
+}
+
 // handleResult decides what follows a send. It reports whether the request has
 // ended and returns its failure, nil if the request was answered.
 func (rs *requestState) handleResult(ctx context.Context, res result) (*request.Failure, bool) {
@@ -109,13 +120,13 @@
 	case notSent:
 		rs.warn("upstream cannot be reached", res.reason)
 		rs.avoid[id] = true
-		if rs.unreachable++; rs.unreachable > maxUnreachable {
+		if rs.unreachable++; rs.unreachable > maxUnreachable && !rs.waitToResume(ctx) {
 			return rs.giveUp("%d upstreams cannot be reached", rs.unreachable), true
 		}
 	case rejected:
 		rs.warn("upstream refused", res.reason)
 		rs.avoid[id] = true
-		if rs.rejections++; rs.rejections >= maxRejections {
+		if rs.rejections++; rs.rejections >= maxRejections && !rs.waitToResume(ctx) {
 			return rs.giveUp("%d upstreams are full", rs.rejections), true
 		}
 	case broken:
@@ -203,8 +214,10 @@
 	unwatch := t.watchSilence()
 	res := t.roundTrip(rs.outgoing(u))
 	unwatch()
-	rs.interrupted = t.silent.Load()
-	if !stop() || rs.interrupted {
+	if _, ok := res.(broken); ok {
+		rs.interrupted = t.silent.Load()
+	}
+	if !stop() || t.silent.Load() {
 		t.keep = false
 	}
 	t.finish(res)
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -84,14 +84,16 @@
 }
 
 // watchSilence interrupts the connection once the upstream has been silent for
-// too long, if the request may run again. The returned function stops the check.
+// too long, if the request may run again and can be sent elsewhere. The returned
+// function stops the check and waits for its end.
 func (t *transfer) watchSilence() func() {
 	if !t.rs.mayRetryAfterRun() {
 		return func() {}
 	}
 	maxSilence := max(silenceFactor*t.rs.route.GapAim, minSilence)
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		ticker := time.NewTicker(silenceCheckPeriod)
 		defer ticker.Stop()
 		for {
@@ -99,7 +101,7 @@
 			case <-done:
 				return
 			case now := <-ticker.C:
-				if t.attempt.Silent(now, maxSilence) {
+				if t.attempt.Silent(now, maxSilence) && t.rs.reserveRetry(now) {
 					t.silent.Store(true)
 					t.conn.Interrupt()
 					return
@@ -107,7 +109,10 @@
 			}
 		}
 	}()
-	return func() { close(done) }
+	return func() {
+		close(done)
+		<-ended
+	}
 }
 
 // roundTrip sends the request and relays the answer.
