Close the connection of a caller that has left, in place of an empty answer

What callers saw: a caller that closed only its own side of the connection got 200 with an empty body, or a stream cut after its third event with a regular end.

Cause: the end of a request without an answer wrote nothing if the caller counted as gone, and net/http completes what the handler leaves: an empty 200, or the last chunk. The flag was also overwritten when the deadline passed. Class of fault: a missing answer that looks like a complete one.

Change: such a request aborts its connection, and the flag stays once set.

Shown by: TestHalfClosedCallerGetsNoFalseEnd failed before in all three cases (empty 200 twice, three of six events as a complete answer).

--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -179,7 +179,7 @@
 // contextDone returns the failure of a request whose caller has disconnected or
 // whose deadline has passed.
 func (rs *requestState) contextDone(ctx context.Context) *request.Failure {
-	rs.callerGone = rs.r.Context().Err() != nil
+	rs.callerGone = rs.callerGone || rs.r.Context().Err() != nil
 	if rs.callerGone {
 		return request.Unknown("the caller left")
 	}
@@ -285,7 +285,10 @@
 	}
 	rs.record(result, f)
 	switch {
-	case f == nil || rs.callerGone:
+	case f == nil:
+	case rs.callerGone:
+		// A caller that closed only its own side must see no answer that looks complete.
+		panic(http.ErrAbortHandler)
 	case rs.begun:
 		rs.abort(f)
 	default:
