Give the end of a stream its own time to be written

What callers saw: a stream whose upstream pauses for more than 10 s between the last event and the end is cut off instead of ended.

Cause: the deadline for writes to the caller was set at each event only, and the last chunk was written under that of the event before. Ruled out: a deadline that is left on a kept connection for its next answer, since net/http clears it after each one.

Change: the deadline is set again before the end. The simulated network now fails a write after its deadline even if it would not block, as the system does.

Shown by: TestStreamEndsAfterLongPause failed before (answer not complete).

--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -257,7 +257,7 @@
 	rs.begun = true
 	rs.status = status
 	rs.firstByte = time.Since(rs.arrived)
-	_ = rs.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	rs.extendWrite()
 	h := rs.w.Header()
 	for name, values := range header {
 		h[name] = values
@@ -271,6 +271,11 @@
 	}
 }
 
+// extendWrite gives the caller writeTimeout to read what is written next.
+func (rs *requestState) extendWrite() {
+	_ = rs.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // end records the request in metrics and log, and writes the failure, if any,
 // to the caller.
 func (rs *requestState) end(f *request.Failure) {
@@ -293,7 +298,7 @@
 		rs.abort(f)
 	default:
 		rs.status = f.Status
-		_ = rs.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		rs.extendWrite()
 		platform.WriteFailure(rs.w, rs.headers.ID, f.Status, f.Error(), f.RetryAfter)
 	}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -77,6 +77,7 @@
 		rs.begin(t.resp.StatusCode, t.resp.Header)
 		rs.w.WriteHeader(t.resp.StatusCode)
 	}
+	rs.extendWrite()
 	if len(rest) > 0 {
 		if _, err := rs.w.Write(rest); err != nil {
 			rs.callerGone = true
@@ -119,7 +120,7 @@
 	if len(out) == 0 {
 		return nil
 	}
-	_ = rs.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	rs.extendWrite()
 	if _, err := rs.w.Write(out); err != nil {
 		return errors.Wrap(errWriteToCaller, err.Error())
 	}
--- a/simulation/edge_caller_test.go
+++ b/simulation/edge_caller_test.go
@@ -43,3 +43,12 @@
 		})
 	}
 }
+
+// TestStreamEndsAfterLongPause guards against a stream whose end is lost, because the
+// limit for its last write began with the event before.
+func TestStreamEndsAfterLongPause(t *testing.T) {
+	simulateRoutes(t, 1, func(sim *routeSimulation) {
+		sim.setFaults("model", runner.Faults{Pause: 12 * time.Second})
+		sim.expect(sim.send(request{path: "/once/1?events=1", id: "a"}), 200, streamText("a", 1))
+	})
+}
--- a/simulation/network_test.go
+++ b/simulation/network_test.go
@@ -376,6 +376,9 @@
 		if c.isClosed() {
 			return 0, net.ErrClosed
 		}
+		if deadline := c.deadline(false); !deadline.IsZero() && !time.Now().Before(deadline) {
+			return 0, os.ErrDeadlineExceeded
+		}
 		latency := c.network.latency(c.local, c.remote)
 		h.mu.Lock()
 		wake := h.wake
