Accept requests in a planned stop by the time that is left of it

What callers saw: a call or a stream that was accepted by an instance that leaves was cut off at the end of its stop: a call of 4.8 s sent 3.5 s after the signal, a stream sent 2.2 s after it with a grace period of 4 s.

Cause: calls were accepted for 5 s and streams for 2.5 s, whatever the grace period, the timeout of the route and the caller's deadline were. Class of fault: a constant that holds for one deployment.

Change: a request whose deadline is before the end of the stop is accepted; any other one only during the first third of the stop and at most for 2.5 s, as streams were.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -273,10 +273,10 @@
 	start := time.Now()
 	i.Log.Info("instance is leaving")
 	i.Heartbeats.With(func(v *member.View) { v.SetSelf(func(m *member.Member) { m.State = member.Leaving }) })
-	i.Forward.Leave(start)
+	end := start.Add(i.routes.Load().GracePeriod - exitMargin)
+	i.Forward.Leave(start, end)
 	i.Exchange.SendNow()
 	i.Heartbeats.AnnounceAsync()
-	end := start.Add(i.routes.Load().GracePeriod - exitMargin)
 	for now := start; now.Before(end) && ctx.Err() == nil; now = time.Now() {
 		active, idle := i.Forward.Busy(now)
 		if active == 0 && idle > minIdleTime && now.Sub(start) > minLeavingTime {
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -13,8 +13,10 @@
 const (
 	defaultMaxBodyBytes = 4 << 20
 	bodyTimeout         = 30 * time.Second
-	streamAcceptTime    = 2500 * time.Millisecond // a leaving instance accepts streams for this long
-	callAcceptTime      = 5 * time.Second         // a leaving instance accepts other requests for this long
+	// Requests whose deadline is after the end of a planned stop are accepted during this
+	// share of the stop, at most for maxEarly.
+	earlyShare = 0.33
+	maxEarly   = 2500 * time.Millisecond
 )
 
 // admit finds the route and the organisation of a request, sets its rank and
@@ -63,17 +65,14 @@
 }
 
 // refuseWhileLeaving refuses a request that is not expected to end before the
-// planned stop does.
+// planned stop does: its deadline is later, and the stop has not just begun.
 func (rs *requestState) refuseWhileLeaving() *request.Failure {
-	stopBegan := rs.s.leaving.Load()
-	if stopBegan == nil {
+	stop := rs.s.leaving.Load()
+	if stop == nil || !rs.deadline.After(stop.end) {
 		return nil
 	}
-	acceptTime := callAcceptTime
-	if rs.route.Stream {
-		acceptTime = streamAcceptTime
-	}
-	if rs.arrived.Sub(*stopBegan) < acceptTime {
+	early := min(time.Duration(earlyShare*float64(stop.end.Sub(stop.began))), maxEarly)
+	if rs.arrived.Sub(stop.began) < early {
 		return nil
 	}
 	return request.Unavailable("this instance is leaving").WithRetryAfter(leavingRetryAfter)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,7 +52,7 @@
 	Listen           func(network, address string) (net.Listener, error)
 
 	server  *webserver.Server
-	leaving atomic.Pointer[time.Time] // start of the planned stop, nil before it
+	leaving atomic.Pointer[leaving] // the planned stop, nil before it
 	mu      sync.Mutex
 	active  map[*requestState]bool // requests in progress
 	lastEnd time.Time              // when a request last ended
@@ -76,10 +76,16 @@
 	return s.server.Close()
 }
 
-// Leave begins the planned stop: each connection is closed after its next
-// answer, and requests that are not expected to end in time are refused.
-func (s *Server) Leave(now time.Time) {
-	s.leaving.CompareAndSwap(nil, &now)
+// leaving is a planned stop.
+type leaving struct {
+	began, end time.Time
+}
+
+// Leave begins the planned stop, which cuts off requests at its end: each connection
+// is closed after its next answer, and requests that are not expected to end in time
+// are refused.
+func (s *Server) Leave(now, end time.Time) {
+	s.leaving.CompareAndSwap(nil, &leaving{began: now, end: end})
 }
 
 // Shutdown closes the listener and waits until the requests on the connections that
--- a/simulation/edge_stop_test.go
+++ b/simulation/edge_stop_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"knapweedwell/standin/runner"
 )
 
 // TestStopAnswersAccepted sends requests on new connections until an instance that
@@ -154,6 +156,52 @@
 	return k.sent && k.near.out.buffered == 0
 }
 
+// TestStopRefusesWhatCannotEnd sends requests to an instance that leaves, which need
+// more time than it has left. It guards against requests that are accepted late and cut
+// off by the end of the stop, for other grace periods and timeouts.
+func TestStopRefusesWhatCannotEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		grace  time.Duration
+		after  time.Duration // from the start of the stop to the request
+		path   string
+		faults runner.Faults
+		header map[string]string
+		status int
+	}{
+		{"slow call, late", 8 * time.Second, 3500 * time.Millisecond, "/book/1", runner.Faults{Delay: 4800 * time.Millisecond}, nil, 503},
+		{"slow call, early", 8 * time.Second, 2300 * time.Millisecond, "/book/1", runner.Faults{Delay: 4800 * time.Millisecond}, nil, 200},
+		{"short deadline, late", 8 * time.Second, 6 * time.Second, "/book/1", runner.Faults{Delay: time.Second}, map[string]string{"X-Knapweedwell-Deadline-Ms": "1500"}, 200},
+		{"stream, short grace period", 4 * time.Second, 2200 * time.Millisecond, "/talk/1?events=6", runner.Faults{Pause: 400 * time.Millisecond}, nil, 503},
+		{"stream, long grace period", 30 * time.Second, 5 * time.Second, "/talk/1?events=6", runner.Faults{Pause: 400 * time.Millisecond}, nil, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulateRoutes(t, 2, func(sim *routeSimulation) {
+				sim.setFaults("", c.faults)
+				stopped := sim.instances[0]
+				sim.instances[0] = nil
+				settings := *stopped.Settings
+				routes := *settings.Routes
+				routes.GracePeriod = c.grace
+				settings.Routes = &routes
+				stopped.Reload(&settings)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_ = stopped.Stop(context.Background())
+				}()
+				for range c.after / (500 * time.Millisecond) {
+					sim.callOnce("10.1.0.1:1", time.Second) // keeps the instance from leaving early
+					time.Sleep(500 * time.Millisecond)
+				}
+				time.Sleep(c.after % (500 * time.Millisecond))
+				sim.expect(sim.send(request{path: c.path, id: "a", header: c.header}), c.status, "")
+				<-done
+			})
+		})
+	}
+}
+
 // callOnce connects to an address and sends a request for a route that is not served.
 // It reports whether the instance accepted the connection, and whether an answer was
 // received. A connection that was still in the queue of the listener is not accepted.
