Give each part of a large answer its own time to be written

What callers saw: an answer of more than 2 MB that takes longer than 10 s is cut off.

Ruled out: that a failed write to the caller counts as the upstream's failure; net/http cancels the request's context at such a write, so the send was recorded as abandoned and the request as left (TestUnreadLargeAnswer passed before the change, too).

Change: the deadline is set before each part that is written, and a failed write says that the caller is gone, as in streams.

Shown by: TestLargeAnswerArrivesSlowly failed before (3,153,892 of 3,158,728 bytes).

--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -19,6 +19,7 @@
 	maxForeignAnswers = 3       // answers to other requests that are read before the connection is given up
 	maxBufferedBytes  = 2 << 20 // largest answer that is read completely before it is relayed
 	readBufferBytes   = 4 << 10
+	relayBytes        = 32 << 10 // part of a large answer for which the caller has writeTimeout
 
 	// A stream is resumed elsewhere after a silence of silenceFactor times the
 	// route's target for the gap between events, but not before minSilence.
@@ -230,13 +231,25 @@
 	httpwire.StripHop(t.resp.Header)
 	t.rs.begin(t.resp.StatusCode, t.resp.Header)
 	t.rs.w.WriteHeader(t.resp.StatusCode)
-	_, err := io.Copy(t.rs.w, io.MultiReader(bytes.NewReader(start), t.resp.Body))
-	if err != nil {
-		t.keep = false
-		return broken{reason: err.Error()}
+	source := io.MultiReader(bytes.NewReader(start), t.resp.Body)
+	buf := make([]byte, relayBytes)
+	for {
+		n, err := source.Read(buf)
+		t.rs.extendWrite()
+		if _, werr := t.rs.w.Write(buf[:n]); werr != nil {
+			t.keep = false
+			t.rs.callerGone = true
+			return broken{reason: errors.Wrap(errWriteToCaller, werr.Error()).Error()}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			t.rs.delivered = true
+			return served{}
+		case err != nil:
+			t.keep = false
+			return broken{reason: errors.Wrap(err, "read answer").Error()}
+		}
 	}
-	t.rs.delivered = true
-	return served{}
 }
 
 // skipBody reads the body of a short answer that is not relayed, so that the
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -200,6 +200,7 @@
 		"version": sim.routesVersion,
 		"routes": append(routes,
 			newRoute("read", "/read/", "safe", nil),
+			newRoute("bulk", "/bulk/", "safe", map[string]any{"timeout_ms": 20000}),
 			newRoute("book", "/book/", "unsafe", map[string]any{"max_attempts": 1}),
 			newRoute("talk", "/talk/", "stream", map[string]any{"resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}),
 			newRoute("once", "/once/", "stream", map[string]any{"max_attempts": 1, "sticky": true, "backends": model, "timeout_ms": 20000}),
