Treat a stream that ends inside an event as broken off

What callers saw: a stream whose upstream broke off inside an event, in an answer with neither length nor chunks, ended as a complete answer with a piece of an event at its end, and was not resumed where it may be. One that ended before its first event was a complete empty success.

Cause: the end of the connection is the regular end of such an answer, and finishStream relayed what followed the last complete event and ended the caller's answer.

Change: text after the last complete event is relayed only if it consists of blank lines and whole comment lines, which belong to no event. Otherwise the stream has broken off: it is resumed elsewhere if the route allows, else the caller's connection is aborted after the last complete event. The same holds for streams with a length or chunks that end regularly inside an event: by their format such an event is not dispatched, so the caller lacks it in any case, and an upstream that stops in an event may still end its chunks. A stream without length or chunks that ends before its first event is broken off too, unless the caller or an earlier upstream had events of it, since nothing shows that it is whole; one that states its end may be empty, as before.

Ruled out by reading and by tests that passed from the start: answers that are no streams (whole at the end of the connection, broken when it is reset, relayed with a length or in chunks, connection not used again, also HTTP/1.0), the client of the store (a proper prefix of an object is no JSON), the events of engines (a stream ends with its end mark). An answer of an engine that has neither length nor chunks stays refused on the chat path.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,16 +66,26 @@
 	}
 }
 
-// finishStream handles the regular end of a stream. It relays the rest, which is
-// the text after the last complete event.
+// finishStream handles the regular end of a stream. The rest is the text after the
+// last complete event. Where it begins another event the stream has broken off, even if
+// the answer is as long as its head states.
 func (t *transfer) finishStream(rest []byte) result {
 	rs := t.rs
+	if insideEvent(rest) {
+		t.keep = false
+		return broken{reason: "the stream ended inside an event"}
+	}
+	if t.endedUnbegun(rest) {
+		t.keep = false
+		return broken{reason: "the connection ended before the first event"}
+	}
 	if !rs.begun {
 		httpwire.StripHop(t.resp.Header)
 		rs.begin(t.resp.StatusCode, t.resp.Header)
 		rs.w.WriteHeader(t.resp.StatusCode)
 	}
 	if len(rest) > 0 {
+		_ = rs.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := rs.w.Write(rest); err != nil {
 			rs.callerGone = true
 			return broken{reason: err.Error()}
@@ -87,6 +95,13 @@
 	return served{}
 }
 
+// endedUnbegun reports whether a stream that is due from its first event has ended with
+// its connection and without any event, so that nothing shows that it is whole.
+func (t *transfer) endedUnbegun(rest []byte) bool {
+	rs := t.rs
+	return !httpwire.Delimited(t.resp) && len(rest) == 0 && rs.stream.events == 0 && rs.headers.LastEvent == ""
+}
+
 // writeEvents writes complete events to the caller, except for those that it has
 // already received from an earlier upstream.
 func (rs *requestState) writeEvents(t *transfer, data []byte) error {
@@ -128,52 +143,3 @@
 	}
 	return nil
 }
-
-// endOfEvent returns the length of the first complete event, zero if there is
-// none.
-func endOfEvent(data []byte) int {
-	for at := 0; at < len(data); {
-		i := bytes.IndexByte(data[at:], '\n')
-		if i < 0 {
-			return 0
-		}
-		at += i + 1
-		rest := data[at:]
-		switch {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return at + 1
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return at + 2
-		}
-	}
-	return 0
-}
-
-// endOfEvents returns the length of all complete events at the beginning of data.
-func endOfEvents(data []byte) int {
-	end := 0
-	for {
-		n := endOfEvent(data[end:])
-		if n == 0 {
-			return end
-		}
-		end += n
-	}
-}
-
-// eventID returns the ID of an event as text and as a number, and whether it is a
-// number.
-func eventID(event []byte) (string, int64, bool) {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		event = rest
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		text := string(bytes.TrimSpace(value))
-		n, err := strconv.ParseInt(text, 10, 64)
-		return text, n, err == nil
-	}
-	return "", 0, false
-}
--- a/simulation/edge_endless_test.go
+++ b/simulation/edge_endless_test.go
@@ -24,8 +24,9 @@
 	open   atomic.Int64  // connections with a request in progress
 }
 
-// startRawUpstream registers an upstream as the only one of a service.
-func (sim *routeSimulation) startRawUpstream(id, service string, u *rawUpstream) {
+// startRawUpstream registers an upstream as the only one of a service. The function
+// serves its connections.
+func (sim *routeSimulation) startRawUpstream(id, service string, serve func(net.Conn)) {
 	for other := range sim.runners {
 		if strings.HasPrefix(other, service) {
 			sim.store.Delete("servers", other)
@@ -43,7 +44,7 @@
 			if err != nil {
 				return
 			}
-			go u.serve(c)
+			go serve(c)
 		}
 	}()
 	sim.putEntry(id, service, "ready")
@@ -110,7 +111,7 @@
 				if strings.HasPrefix(c.path, "/once") {
 					service = "model"
 				}
-				sim.startRawUpstream(service+"-raw", service, c.upstream)
+				sim.startRawUpstream(service+"-raw", service, c.upstream.serve)
 				start := time.Now()
 				got := sim.send(request{path: c.path, id: "e1"})
 				if took := time.Since(start); took > c.timeout+slack {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -216,3 +216,12 @@
 	_, err := r.Next()
 	assert.Equal(t, err, io.ErrUnexpectedEOF)
 }
+
+// TestCutEvents guards against an event that is taken as complete though the stream ends
+// inside it.
+func TestCutEvents(t *testing.T) {
+	for _, text := range []string{"data: a", "data: a\n", "data: [DONE]", "data: [DONE]\n", "id: 1\ndata: [DONE]\r\n", "id: 1\n\n"} {
+		_, err := NewEventReader(strings.NewReader(text)).Next()
+		assert.Equal(t, err, io.ErrUnexpectedEOF, "%q", text)
+	}
+}
