Hand tickets over to one successor, with the outcomes that come meanwhile

What callers could see: after a planned stop two instances decided on the same tickets, so that a request with a ticket that must not be repeated could run once at each. Or a request that had ended during the handover was answered as of unknown outcome when it was repeated.

Causes, all in HandOver: - If the answer of the peer that had taken the tables over was lost, the next peer got them too. - Between the sealing of the tables and the answer, outcomes and releases were written to the sealed tables and lost. The same held for adopted tables between the answer and the announcement of the successor. - An instance whose own tables were sealed already still took over others, which it no longer passed on.

Change: a peer that may have received the call is called again, up to three times; if it does not answer, nobody else gets the tables, and their tickets are answered as undecided. A peer that refuses or to which there is no connection has not taken them over (peer.ErrNotSent). Outcomes and releases during the handover are retried until the successor is known and then go there. An instance refuses tables once its own handover has begun, unless it had taken the same ones over before.

--- a/claimstore/service.go
+++ b/claimstore/service.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"knapweedwell/background"
 	"knapweedwell/claim"
@@ -26,8 +27,15 @@
 	peerTimeout   = 1500 * time.Millisecond
 	takeTimeout   = 5 * time.Second
 	expirePeriod  = time.Minute
+	// maxAdoptCalls is the number of calls to a peer that may have taken tables over
+	// without an answer.
+	maxAdoptCalls = 3
 )
 
+// errHandingOver means that a table is being transferred, so that no record of it can
+// be changed.
+var errHandingOver = errors.New("the ticket's instance is handing its tickets over")
+
 // Service routes each claim to the store, ticket table or peer that decides on it.
 // The exported fields are set before Run.
 type Service struct {
@@ -37,12 +45,14 @@
 	Heartbeats *heartbeat.Service
 	Log        logrus.FieldLogger
 
-	mu        sync.Mutex
-	table     *claim.Table
-	adopted   map[string]*claim.Table // tables of predecessors by identity
-	successor string                  // address of the peer that took the table over
-	expiry    background.Group        // expires old records
-	saving    background.Group        // saves outcomes and releases claims
+	mu          sync.Mutex
+	table       *claim.Table
+	adopted     map[string]*claim.Table // tables of predecessors by identity
+	leaving     bool                    // set once HandOver is called
+	handingOver bool                    // the tables are being transferred
+	successor   string                  // address of the peer that took the tables over
+	expiry      background.Group        // expires old records
+	saving      background.Group        // saves outcomes and releases claims
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
@@ -112,16 +122,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ticket.Identity == s.Identity && s.successor == "" {
-		return location{table: s.table}
-	}
+	t := s.adopted[ticket.Identity]
 	if ticket.Identity == s.Identity {
-		return location{address: s.successor}
+		t = s.table
 	}
-	if t := s.adopted[ticket.Identity]; t != nil {
-		return location{table: t}
+	switch {
+	case t == nil:
+		return s.locatePeer(ticket.Identity)
+	case s.successor != "":
+		return location{address: s.successor}
 	}
-	return s.locatePeer(ticket.Identity)
+	return location{table: t}
 }
 
 func (s *Service) locatePeer(identity string) location {
@@ -204,10 +215,7 @@
 	case loc.store:
 		return s.Store.Finish(ctx, c, o)
 	case loc.table != nil:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		loc.table.Finish(c, o)
-		return nil
+		return s.settle(func() { loc.table.Finish(c, o) })
 	case loc.unavailable:
 		return nil
 	}
@@ -220,37 +228,81 @@
 	case loc.store:
 		return s.Store.Release(ctx, c)
 	case loc.table != nil:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		loc.table.Release(c)
-		return nil
+		return s.settle(func() { loc.table.Release(c) })
 	case loc.unavailable:
 		return nil
 	}
 	return s.call(ctx, loc.address, releaseMethod, c, nil)
 }
 
+// settle changes a record of a table of this instance by calling f. It returns
+// errHandingOver once the tables are being transferred or have been.
+func (s *Service) settle(f func()) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handingOver || s.successor != "" {
+		return errHandingOver
+	}
+	f()
+	return nil
+}
+
 // HandOver seals the ticket tables and transfers them to the first of the peers
 // that accepts them. It returns the identity of this successor, empty if there is
-// none. The tables stay sealed in either case.
+// none. The tables stay sealed in either case. If a peer may have taken them over
+// without an answer, no other peer gets them: two would decide on the same tickets.
 func (s *Service) HandOver(ctx context.Context, to []member.Member) string {
+	exports := s.seal()
+	var successor member.Member
+	for _, m := range to {
+		adopted, known := s.requestAdoption(ctx, m.Peer, exports)
+		if adopted {
+			successor = m
+		}
+		if adopted || !known {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handingOver = false
+	if successor.Name == "" {
+		return ""
+	}
+	s.successor = successor.Peer
+	return successor.Identity()
+}
+
+// seal seals all tables of this instance and returns their content.
+func (s *Service) seal() []claim.Export {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.handingOver = true, true
 	exports := []claim.Export{s.table.Seal(time.Now())}
 	for _, t := range s.adopted {
 		exports = append(exports, t.Seal(time.Now()))
 	}
-	s.mu.Unlock()
-	for _, m := range to {
-		if err := s.call(ctx, m.Peer, adoptMethod, exports, nil); err != nil {
-			continue
+	return exports
+}
+
+// requestAdoption asks a peer to take tables over and reports whether it has done so.
+// If that is not known after maxAdoptCalls calls, it reports so.
+func (s *Service) requestAdoption(ctx context.Context, address string, exports []claim.Export) (adopted, known bool) {
+	sent := false
+	for range maxAdoptCalls {
+		err := s.call(ctx, address, adoptMethod, exports, nil)
+		if err == nil {
+			return true, true
+		}
+		var refusal *jsonrpc2.Error
+		refused := errors.As(err, &refusal)
+		sent = sent || !refused && !errors.Is(err, peer.ErrNotSent)
+		s.Log.WithFields(logrus.Fields{"Address": address, "Refused": refused, "Sent": sent, "Error": err.Error()}).Warn("tickets were not taken over")
+		if refused || !sent {
+			return false, !sent
 		}
-		s.mu.Lock()
-		s.successor = m.Peer
-		s.adopted = map[string]*claim.Table{}
-		s.mu.Unlock()
-		return m.Identity()
 	}
-	return ""
+	return false, false
 }
 
 // wireFinish is a claim with its outcome as it is sent to peers.
@@ -299,10 +351,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.successor != "" {
-		return nil, errors.New("this instance is leaving itself")
-	}
 	for _, e := range exports {
+		if s.adopted[e.Identity] == nil && s.leaving {
+			return nil, errors.New("this instance is leaving itself")
+		}
 		if s.adopted[e.Identity] == nil {
 			s.adopted[e.Identity] = claim.Import(time.Now(), e)
 		}
--- a/peer/node.go
+++ b/peer/node.go
@@ -214,12 +214,37 @@
 	return c, nil
 }
 
+// ErrNotSent means that there was no connection to a peer, so that it has not received
+// the call.
+var ErrNotSent = errors.New("peer cannot be reached")
+
+// notSentError is the reason why there was no connection to a peer.
+type notSentError struct {
+	cause error
+}
+
+// Error returns the text of the cause.
+func (e *notSentError) Error() string {
+	return e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *notSentError) Unwrap() error {
+	return e.cause
+}
+
+// Is reports whether the target is ErrNotSent.
+func (e *notSentError) Is(target error) bool {
+	return target == ErrNotSent
+}
+
 // Call calls a method of the peer at the address and decodes its answer into result.
-// It dials the peer if there is no connection.
+// It dials the peer if there is no connection. The error matches ErrNotSent if there
+// is none.
 func (n *Node) Call(ctx context.Context, address, method string, params, result any) error {
 	c, err := n.conn(ctx, address)
 	if err != nil {
-		return err
+		return &notSentError{cause: err}
 	}
 	return errors.Wrapf(c.Call(ctx, method, params, result), "call %s of %s", method, address)
 }
