Tell a displaced request why it was refused, and count its tokens right

Three faults of package dispatch, found by reading: - A waiting request that one of a higher tier displaced was told that its deadline had passed, and so was one whose caller had left. The refusal now follows from the cause of the context's end. - The tokens of a whole answer were written without the lock of the grant, while the periodic report reads them. - Events that an engine repeats within an attempt were counted as tokens again, so that the reported length of the answer was too high.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"knapweedwell/invariant"
 	"knapweedwell/member"
@@ -37,7 +38,7 @@
 		}
 		last = f
 		if ctx.Err() != nil {
-			return nil, request.Refuse("the deadline passed before an upstream was free")
+			return nil, refuseEnded(ctx)
 		}
 	}
 	if last == nil {
@@ -95,7 +96,7 @@
 			return nil, request.Refuse("%s", reply.Reason)
 		}
 		if ctx.Err() != nil {
-			return nil, request.Refuse("the deadline passed before an upstream was free")
+			return nil, refuseEnded(ctx)
 		}
 		if err != nil {
 			r.s.Owners.MarkSuspect(shardOwner)
@@ -162,3 +163,15 @@
 		req:      r.req,
 	}
 }
+
+// refuseEnded returns the refusal of a request whose context ended before an upstream
+// was free.
+func refuseEnded(ctx context.Context) *request.Failure {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDisplaced):
+		return request.Refuse("a request of a higher tier took the place at this instance")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return request.Refuse("the deadline passed before an upstream was free")
+	}
+	return request.Refuse("the caller left before an upstream was free")
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -172,7 +172,7 @@
 	}
 	r.firstToken = first
 	if r.req.Kind == request.Chat {
-		g.tokens = completionTokens(body)
+		g.setTokens(completionTokens(body))
 	}
 	r.s.Check.Check(invariant.OwnAnswer, sameID(resp, g.streamID), "request %s got the answer of another", r.req.ID)
 	r.s.Check.Check(invariant.WholeAnswer, resp.ContentLength < 0 || int64(len(body)) == resp.ContentLength,
@@ -264,8 +264,11 @@
 		r.s.Check.Check(invariant.WholeAnswer, r.relay.complete(), "request %s ends after %d events without a finish", r.req.ID, r.relay.sent)
 		return r.writeEvent(e)
 	}
-	g.recordToken(time.Now())
+	received := r.relay.received
 	fresh, err := r.relay.accept(e)
+	if r.relay.received > received {
+		g.recordToken(time.Now())
+	}
 	if err != nil || !fresh {
 		return err
 	}
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -56,6 +56,13 @@
 	g.lastToken = now
 }
 
+// setTokens sets the number of tokens of a whole answer.
+func (g *grant) setTokens(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tokens = n
+}
+
 // meanGap returns the mean gap between the tokens of the answer so far, zero
 // before the second token.
 func (g *grant) meanGap() time.Duration {
