Expire ticket records that never got an outcome

Seen by reading: a record whose attempt never ended, because its instance had ended, was kept for good. After maxRecords of them an instance refuses all tickets.

A record may be deleted after RecordLifetime whatever it holds: its ticket is older than TicketLifetime then, so that Take answers Undecided with and without it.

Test: TestExpireWithoutOutcome; before, one record was left.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -87,3 +87,20 @@
 		}
 	})
 }
+
+// TestExpireWithoutOutcome guards against records that are kept for good because no
+// outcome came. The request of an expired ticket does not run, with or without a record.
+func TestExpireWithoutOutcome(t *testing.T) {
+	start := time.Unix(0, 0)
+	table := NewTable("entry-1@7", start)
+	c := Claim{Key: table.Issue(start), Nonce: "1"}
+	assert.Equal(t, table.Take(start, c), Decision(Acquired{}))
+	table.Expire(start.Add(RecordLifetime))
+	assert.Equal(t, table.Len(), 1)
+	later := start.Add(RecordLifetime + time.Second)
+	table.Expire(later)
+	assert.Equal(t, table.Len(), 0)
+	c.Nonce = "2"
+	_, undecided := table.Take(later, c).(Undecided)
+	assert.Assert(t, undecided, "the request of an expired ticket was run")
+}
--- a/claim/table.go
+++ b/claim/table.go
@@ -143,11 +143,11 @@
 	}
 }
 
-// Expire deletes the records with an outcome that are older than RecordLifetime.
+// Expire deletes the records that are older than RecordLifetime.
 func (t *Table) Expire(now time.Time) {
 	age := now.Sub(t.Started)
 	for key, r := range t.records {
-		if age-r.Taken > RecordLifetime && r.Outcome != nil {
+		if age-r.Taken > RecordLifetime {
 			delete(t.records, key)
 		}
 	}
