Keep an instance that starts and sends heartbeats out of suspicion

Seen by reading: Merge did not count the heartbeats of an instance in the state Starting, while Tick suspects it after SuspectAfter of silence. An instance that waited long for its configuration was suspected, its connections were dropped, and it had to refute that with each heartbeat.

Test: TestStartingBeats; before, the instance was suspect after three heartbeats.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -129,3 +129,15 @@
 		assert.Assert(t, name == "c" || m.Name == name, "owner of shard %s changed from %s to %s", shard, name, m.Name)
 	}
 }
+
+// TestStartingBeats guards against an instance that is suspected while it starts although
+// it sends heartbeats.
+func TestStartingBeats(t *testing.T) {
+	now := time.Unix(0, 0)
+	v := New(instance("a", 1, Live))
+	for beat := range int64(20) {
+		v.Merge(now, instance("b", beat, Starting))
+		assert.Equal(t, len(v.Tick(now)), 0, "after %d beats", beat)
+		now = now.Add(SuspectAfter / 2)
+	}
+}
--- a/member/view.go
+++ b/member/view.go
@@ -78,7 +78,7 @@
 	if m.Incarnation != r.Incarnation {
 		v.ended[r.Identity()] = ending{successor: r.Successor, at: now}
 	}
-	if m.State == Live || m.State == Leaving || m.Incarnation > r.Incarnation {
+	if m.State == Starting || m.State == Live || m.State == Leaving || m.Incarnation > r.Incarnation {
 		r.lastSeen = now
 	}
 	r.Member = m
