Show keys with an empty value in the differences of configurations

Seen by reading: Diff compared the values only, so that a key with an empty value that was added or removed did not appear, and one that changed to or from an empty value was shown as added or removed.

A Difference now says whether its section or key was added or removed.

Test: TestDiffEmptyValue; before, there was no difference.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -68,3 +68,14 @@
 		}
 	})
 }
+
+// TestDiffEmptyValue guards against a key with an empty value that is missing in the
+// differences.
+func TestDiffEmptyValue(t *testing.T) {
+	with, without := "[Limits]\nA =\nB = 1\n", "[Limits]\nB = 1\n"
+	assert.Equal(t, len(Diff(without, with)), 1)
+	assert.Equal(t, Diff(without, with)[0].String(), "+ [Limits] A = ")
+	assert.Equal(t, len(Diff(with, without)), 1)
+	assert.Equal(t, Diff(with, without)[0].String(), "- [Limits] A = ")
+	assert.Equal(t, Diff("[Limits]\nA =\n", "[Limits]\nA = 1\n")[0].String(), "~ [Limits] A = 1 (was )")
+}
--- a/config/diff.go
+++ b/config/diff.go
@@ -12,18 +12,20 @@
 	Key     string // empty if the whole section was added or removed
 	Old     string
 	New     string
+	Added   bool
+	Removed bool
 }
 
 // String renders the difference as a line that begins with +, - or ~.
 func (d Difference) String() string {
 	switch {
-	case d.Key == "" && d.Old == "":
+	case d.Key == "" && d.Added:
 		return fmt.Sprintf("+ [%s]", d.Section)
 	case d.Key == "":
 		return fmt.Sprintf("- [%s]", d.Section)
-	case d.Old == "":
+	case d.Added:
 		return fmt.Sprintf("+ [%s] %s = %s", d.Section, d.Key, d.New)
-	case d.New == "":
+	case d.Removed:
 		return fmt.Sprintf("- [%s] %s = %s", d.Section, d.Key, d.Old)
 	}
 	return fmt.Sprintf("~ [%s] %s = %s (was %s)", d.Section, d.Key, d.New, d.Old)
@@ -44,10 +46,10 @@
 func diffSection(header string, oldValues, newValues map[string]string) []Difference {
 	switch {
 	case oldValues == nil:
-		differences := []Difference{{Section: header, New: header}}
+		differences := []Difference{{Section: header, New: header, Added: true}}
 		return append(differences, diffKeys(header, nil, newValues)...)
 	case newValues == nil:
-		return []Difference{{Section: header, Old: header}}
+		return []Difference{{Section: header, Old: header, Removed: true}}
 	}
 	return diffKeys(header, oldValues, newValues)
 }
@@ -62,8 +64,10 @@
 	}
 	var differences []Difference
 	for _, key := range sortedKeys(keys) {
-		if oldValues[key] != newValues[key] {
-			differences = append(differences, Difference{Section: header, Key: key, Old: oldValues[key], New: newValues[key]})
+		before, had := oldValues[key]
+		after, has := newValues[key]
+		if before != after || had != has {
+			differences = append(differences, Difference{Section: header, Key: key, Old: before, New: after, Added: !had, Removed: !has})
 		}
 	}
 	return differences
