Accept the hash of a key in upper case

Seen by reading: a KeySHA256 in upper case was accepted and its key never found, so that all requests with it got 401. The parser now changes it to lower case.

Test: TestKeyHashInUpperCase; before, ByKey returned nil.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -69,6 +70,20 @@
 	})
 }
 
+// TestKeyHashInUpperCase guards against a key that is never found because its hash was
+// written in upper case.
+func TestKeyHashInUpperCase(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "examples", "guild.ini"))
+	assert.NilError(t, err)
+	lower, err := Parse("", string(text))
+	assert.NilError(t, err)
+	for name, o := range lower.Organisations {
+		upper, err := Parse("", strings.ReplaceAll(string(text), o.KeySHA256, strings.ToUpper(o.KeySHA256)))
+		assert.NilError(t, err)
+		assert.Equal(t, upper.ByKey("example-"+name), upper.Organisations[name])
+	}
+}
+
 // TestDiffEmptyValue guards against a key with an empty value that is missing in the
 // differences.
 func TestDiffEmptyValue(t *testing.T) {
--- a/config/parse.go
+++ b/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strings"
 	"time"
 
 	"knapweedwell/inifile"
@@ -125,6 +126,7 @@
 	if !o.MayUse(o.DefaultClass) {
 		o.Classes = append(o.Classes, o.DefaultClass)
 	}
+	o.KeySHA256 = strings.ToLower(o.KeySHA256)
 	digest, err := hex.DecodeString(o.KeySHA256)
 	if o.KeySHA256 != "" && (err != nil || len(digest) != 32) {
 		r.AddFinding("KeySHA256", "not a SHA-256; expected 64 hex digits")
