--- a/config/config_test.go
+++ b/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -68,3 +69,28 @@
 		}
 	})
 }
+
+// TestKeyHashInUpperCase guards against a key that is never found because its hash was
+// written in upper case.
+func TestKeyHashInUpperCase(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "examples", "guild.ini"))
+	assert.NilError(t, err)
+	lower, err := Parse("", string(text))
+	assert.NilError(t, err)
+	for name, o := range lower.Organisations {
+		upper, err := Parse("", strings.ReplaceAll(string(text), o.KeySHA256, strings.ToUpper(o.KeySHA256)))
+		assert.NilError(t, err)
+		assert.Equal(t, upper.ByKey("example-"+name), upper.Organisations[name])
+	}
+}
+
+// TestDiffEmptyValue guards against a key with an empty value that is missing in the
+// differences.
+func TestDiffEmptyValue(t *testing.T) {
+	with, without := "[Limits]\nA =\nB = 1\n", "[Limits]\nB = 1\n"
+	assert.Equal(t, len(Diff(without, with)), 1)
+	assert.Equal(t, Diff(without, with)[0].String(), "+ [Limits] A = ")
+	assert.Equal(t, len(Diff(with, without)), 1)
+	assert.Equal(t, Diff(with, without)[0].String(), "- [Limits] A = ")
+	assert.Equal(t, Diff("[Limits]\nA =\n", "[Limits]\nA = 1\n")[0].String(), "~ [Limits] A = 1 (was )")
+}
