Exchange facts about prompt parts between instances

Evidence on prompt parts that crash upstreams was known only to the instance that saw a crash. A datagram of its own (format 7) carries the facts: new ones at once, to all others in a small fleet and from instance to instance in a large one, and what lost datagrams left out by comparing digests once a second while there are facts. Facts carry ages, and verdicts their length, because clocks of instances differ. An instance that was suspended, or hears its peers again, fetches the facts from a peer; datagrams that waited in its socket are dropped, since they look younger than they are.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -91,24 +91,29 @@
 	FetchMembers func(peerAddress string)
 	// OnReport is called with the version and the roster mark that a peer reports.
 	OnReport func(peerAddress string, version, rosterMark int64)
+	Facts    Facts // facts about prompt parts; nil if they are not shared
 	Log      logrus.FieldLogger
 
-	conn      net.PacketConn
-	started   time.Time
-	mu        sync.Mutex
-	reports   map[string]lastReport // most recent reports by the name of the sender
-	addresses map[string]net.Addr   // resolved addresses of members
-	sequence  uint64
-	lastRound time.Time
-	own       placementLog      // placements of this instance
-	ids       map[string]string // IDs of upstreams by their hashes
-	idsRoster *roster.Roster    // roster that ids belongs to
-	fleet     aggregation
-	logged    beliefs // as in the most recent round
-	sent      atomic.Int64
-	received  atomic.Int64
-	sentBytes atomic.Int64
-	group     background.Group
+	conn       net.PacketConn
+	started    time.Time
+	mu         sync.Mutex
+	reports    map[string]lastReport // most recent reports by the name of the sender
+	addresses  map[string]net.Addr   // resolved addresses of members
+	sequence   uint64
+	lastRound  time.Time
+	resumedAt  time.Time         // when a suspension of this process was noticed
+	heard      bool              // whether a peer was heard in the most recent round
+	own        placementLog      // placements of this instance
+	ids        map[string]string // IDs of upstreams by their hashes
+	idsRoster  *roster.Roster    // roster that ids belongs to
+	fleet      aggregation
+	logged     beliefs // as in the most recent round
+	sharing    *sharing
+	refreshing atomic.Bool // whether facts are being fetched again
+	sent       atomic.Int64
+	received   atomic.Int64
+	sentBytes  atomic.Int64
+	group      background.Group
 }
 
 // Run starts sending and receiving datagrams.
@@ -127,9 +132,13 @@
 	s.reports = map[string]lastReport{}
 	s.addresses = map[string]net.Addr{}
 	s.fleet = newAggregation(s.Zone)
+	if s.sharing == nil {
+		s.sharing = newSharing()
+	}
 	s.group.Every(period, func(context.Context, time.Time) { s.round() })
 	s.group.Go(func(context.Context) { s.receive() })
 	s.group.Go(s.fetchPlacements)
+	s.group.Go(s.shareChanges)
 	return nil
 }
 
@@ -158,6 +167,8 @@
 	now := time.Now()
 	plan, round := s.updatePlan(now)
 	s.logChanges(plan)
+	s.checkFacts(now)
+	s.roundFacts(now, plan, round)
 	reports, placements := s.Picker.Reports(now)
 	s.mu.Lock()
 	s.own.add(placements)
@@ -179,6 +190,7 @@
 	defer s.mu.Unlock()
 	if !s.lastRound.IsZero() && now.Sub(s.lastRound) > suspensionTime {
 		s.fleet.silence.Reset()
+		s.resumedAt = now
 	}
 	s.lastRound = now
 	s.fleet.round++
@@ -290,6 +302,9 @@
 		s.applyDigest(d)
 		return nil
 	}
+	if len(data) > 0 && data[0] == factsFormat {
+		return s.receiveFacts(data)
+	}
 	m, err := decode(data)
 	if err != nil {
 		return err
--- /dev/null
+++ b/exchange/factscodec.go
@@ -0,0 +1,174 @@
+package exchange
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"knapweedwell/quarantine"
+)
+
+// factsFormat is the format of the datagrams that carry facts about prompt parts.
+const factsFormat = 7
+
+// The kinds of facts in a datagram. Others are skipped.
+const (
+	implicatedKind = 1 // parts of the requests of one crash
+	answeredKind   = 2
+	convictedKind  = 3
+	releasedKind   = 4
+)
+
+const (
+	maxFacts   = 5000 // facts in one message
+	maxFactAge = 24 * time.Hour
+	maxCrashes = 1 << 20 // crashes of one verdict
+)
+
+// comparison is the step of a comparison of facts that a message is. It begins with the
+// digest of one instance. If that of the other one differs, they tell each other what
+// they have, in short, and then send what the other one lacks.
+type comparison byte
+
+const (
+	noComparison   comparison = iota
+	compareDigest             // the recipient answers with what it has if its digest differs
+	compareHas                // the recipient sends what the sender lacks, and what it has itself
+	compareLacking            // the recipient sends what the sender lacks
+)
+
+// factsMessage is a datagram with facts. It holds their ages in place of times, because
+// the clocks of instances differ, and the length of a verdict in place of its end.
+type factsMessage struct {
+	Sender  string
+	Compare comparison
+	Digest  uint64   // of all facts of the sender
+	Has     []uint16 // fingerprints of all facts of the sender, with the digest
+	Facts   []quarantine.Fact
+}
+
+// encodeFacts encodes a message.
+func encodeFacts(now time.Time, m factsMessage) []byte {
+	b := []byte{factsFormat}
+	b = appendText(b, m.Sender)
+	b = append(b, byte(m.Compare))
+	b = binary.LittleEndian.AppendUint64(b, m.Digest)
+	has := m.Has[:min(len(m.Has), maxFacts)]
+	b = binary.AppendUvarint(b, uint64(len(has)))
+	for _, h := range has {
+		b = binary.LittleEndian.AppendUint16(b, h)
+	}
+	items := factItems(now, m.Facts[:min(len(m.Facts), maxFacts)])
+	b = binary.AppendUvarint(b, uint64(len(items)))
+	for _, item := range items {
+		b = append(b, item.kind)
+		b = binary.AppendUvarint(b, uint64(len(item.data)))
+		b = append(b, item.data...)
+	}
+	return b
+}
+
+// factItem is a fact in a message, or the facts about one crash.
+type factItem struct {
+	kind byte
+	data []byte
+}
+
+// factItems encodes facts in their order. Those about one crash share an item.
+func factItems(now time.Time, facts []quarantine.Fact) []factItem {
+	var items []factItem
+	crashes := map[uint64]int{} // positions of their items
+	for _, f := range facts {
+		item := factItem{}
+		switch f := f.(type) {
+		case quarantine.Implicated:
+			if i, ok := crashes[f.Crash]; ok {
+				items[i].data = binary.AppendUvarint(items[i].data, f.Part)
+				continue
+			}
+			crashes[f.Crash] = len(items)
+			item.kind = implicatedKind
+			item.data = binary.LittleEndian.AppendUint64(nil, f.Crash)
+			item.data = appendMillis(item.data, now.Sub(f.At))
+			item.data = binary.AppendUvarint(item.data, f.Part)
+		case quarantine.Answered:
+			item.kind, item.data = answeredKind, appendPartAge(now, f.Part, f.At)
+		case quarantine.Convicted:
+			item.kind, item.data = convictedKind, appendPartAge(now, f.Part, f.At)
+			item.data = appendMillis(item.data, f.Until.Sub(f.At))
+			item.data = binary.AppendUvarint(item.data, uint64(min(max(f.Crashes, 0), maxCrashes)))
+		case quarantine.Released:
+			item.kind, item.data = releasedKind, appendPartAge(now, f.Part, f.At)
+		default:
+			continue
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+// appendPartAge encodes a part and the age of a fact about it.
+func appendPartAge(now time.Time, part uint64, at time.Time) []byte {
+	return appendMillis(binary.AppendUvarint(nil, part), now.Sub(at))
+}
+
+// appendMillis encodes a time span in milliseconds, from zero to maxFactAge.
+func appendMillis(b []byte, d time.Duration) []byte {
+	return binary.AppendUvarint(b, uint64(min(max(d, 0), maxFactAge).Milliseconds()))
+}
+
+// decodeFacts decodes a message that was received at now.
+func decodeFacts(now time.Time, data []byte) (factsMessage, error) {
+	r := &reader{data: data}
+	if v := r.bytes(1); v[0] != factsFormat {
+		return factsMessage{}, errors.Errorf("facts have format %d, expected %d", v[0], factsFormat)
+	}
+	m := factsMessage{Sender: r.text(), Compare: comparison(r.bytes(1)[0])}
+	m.Digest = r.uint64()
+	for range r.count(maxFacts) {
+		m.Has = append(m.Has, binary.LittleEndian.Uint16(r.bytes(2)))
+	}
+	for range r.count(maxFacts) {
+		kind := r.bytes(1)[0]
+		item := &reader{data: r.bytes(r.count(len(r.data)))}
+		m.Facts = append(m.Facts, item.facts(now, kind)...)
+		r.malformed = r.malformed || item.malformed
+	}
+	if r.malformed || len(r.data) > 0 || len(m.Facts) > maxFacts {
+		return factsMessage{}, errMalformed
+	}
+	return m, nil
+}
+
+// facts reads the facts of one item. Bytes after them are left for later builds.
+func (r *reader) facts(now time.Time, kind byte) []quarantine.Fact {
+	switch kind {
+	case implicatedKind:
+		crash, at := r.uint64(), now.Add(-r.millis())
+		var facts []quarantine.Fact
+		for len(r.data) > 0 && !r.malformed {
+			facts = append(facts, quarantine.Implicated{Part: r.uvarint(), Crash: crash, At: at})
+		}
+		return facts
+	case answeredKind:
+		return []quarantine.Fact{quarantine.Answered{Part: r.uvarint(), At: now.Add(-r.millis())}}
+	case convictedKind:
+		f := quarantine.Convicted{Part: r.uvarint(), At: now.Add(-r.millis())}
+		f.Until = f.At.Add(r.millis())
+		f.Crashes = r.count(maxCrashes)
+		return []quarantine.Fact{f}
+	case releasedKind:
+		return []quarantine.Fact{quarantine.Released{Part: r.uvarint(), At: now.Add(-r.millis())}}
+	}
+	return nil
+}
+
+func (r *reader) uint64() uint64 {
+	return binary.LittleEndian.Uint64(r.bytes(8))
+}
+
+// millis reads a time span of at most maxFactAge.
+func (r *reader) millis() time.Duration {
+	return time.Duration(r.count(int(maxFactAge.Milliseconds()))) * time.Millisecond
+}
--- /dev/null
+++ b/exchange/factscodec_test.go
@@ -0,0 +1,85 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"knapweedwell/quarantine"
+)
+
+func sampleFacts(now time.Time) factsMessage {
+	return factsMessage{
+		Sender: "entry-1", Compare: compareHas, Digest: 1 << 63, Has: []uint16{1, 1 << 15},
+		Facts: []quarantine.Fact{
+			quarantine.Convicted{Part: 0xe4402b7d, At: now.Add(-2 * time.Second), Until: now.Add(time.Minute), Crashes: 5},
+			quarantine.Implicated{Part: 1 << 60, Crash: 9, At: now.Add(-300 * time.Millisecond)},
+			quarantine.Implicated{Part: 7, Crash: 9, At: now.Add(-300 * time.Millisecond)},
+			quarantine.Answered{Part: 8, At: now.Add(-4 * time.Second)},
+			quarantine.Released{Part: 9, At: now},
+		},
+	}
+}
+
+// TestFactsCodec encodes facts and decodes them at an instance whose clock is wrong: ages
+// and remaining times stay.
+func TestFactsCodec(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	for _, skew := range []time.Duration{0, 26 * time.Hour, -26 * time.Hour} {
+		m, err := decodeFacts(now.Add(skew), encodeFacts(now, sampleFacts(now)))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, m, sampleFacts(now.Add(skew)))
+	}
+}
+
+// TestFactsCodecBounds encodes a verdict that has ended and ones with times out of bounds.
+func TestFactsCodecBounds(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	ended := quarantine.Convicted{Part: 3, At: now.Add(-time.Hour), Until: now.Add(-time.Minute), Crashes: 2}
+	facts := []quarantine.Fact{
+		quarantine.Convicted{Part: 1, At: now.Add(-3 * maxFactAge), Until: now, Crashes: -1},
+		quarantine.Convicted{Part: 2, At: now.Add(time.Second), Until: now.Add(time.Minute), Crashes: 2},
+		ended,
+	}
+	m, err := decodeFacts(now, encodeFacts(now, factsMessage{Facts: facts}))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m.Facts, []quarantine.Fact{
+		quarantine.Convicted{Part: 1, At: now.Add(-maxFactAge), Until: now},
+		quarantine.Convicted{Part: 2, At: now, Until: now.Add(59 * time.Second), Crashes: 2},
+		ended,
+	})
+}
+
+// TestFactsOfLaterBuilds decodes a message with a kind of facts that this build does not
+// know, and with more bytes in a known one.
+func TestFactsOfLaterBuilds(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	head := encodeFacts(now, factsMessage{Sender: "entry-1"})
+	data := append(head[:len(head)-1:len(head)-1], 2, 99, 3, 1, 2, 3, answeredKind, 4, 5, 0, 1, 1)
+	m, err := decodeFacts(now, data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m.Facts, []quarantine.Fact{quarantine.Answered{Part: 5, At: now}})
+}
+
+// TestDecodeFactsTruncated cuts a message at every byte: each piece is rejected.
+func TestDecodeFactsTruncated(t *testing.T) {
+	now := time.Now()
+	data := encodeFacts(now, sampleFacts(now))
+	for n := range data {
+		_, err := decodeFacts(now, data[:n])
+		assert.Assert(t, err != nil, "decoded the first %d bytes of facts", n)
+	}
+	_, err := decodeFacts(now, append(data, 0))
+	assert.Assert(t, err != nil)
+}
+
+// FuzzDecodeFacts checks that no input makes decodeFacts panic.
+func FuzzDecodeFacts(f *testing.F) {
+	now := time.Now()
+	f.Add(encodeFacts(now, sampleFacts(now)))
+	f.Add([]byte{factsFormat})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = decodeFacts(now, data)
+	})
+}
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -38,6 +39,14 @@
 	mu      sync.Mutex
 	sockets map[string]*socket
 	cut     map[string]bool // addresses that neither send nor receive
+	loss    float64         // share of the datagrams that are lost
+	random  *rand.Rand
+	bytes   map[byte]int // bytes sent by the format of the datagram
+}
+
+// newPackets returns a network without instances.
+func newPackets() *packets {
+	return &packets{sockets: map[string]*socket{}, cut: map[string]bool{}, random: rand.New(rand.NewPCG(1, 2)), bytes: map[byte]int{}}
 }
 
 type socket struct {
@@ -68,6 +77,12 @@
 	p.cut[address] = cut
 }
 
+func (p *packets) setLoss(loss float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loss = loss
+}
+
 func (s *socket) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case data := <-s.in:
@@ -84,7 +99,8 @@
 	p := s.packets
 	p.mu.Lock()
 	target := p.sockets[to.String()]
-	cut := p.cut[s.address] || p.cut[to.String()]
+	cut := p.cut[s.address] || p.cut[to.String()] || p.random.Float64() < p.loss
+	p.bytes[b[0]] += len(b)
 	p.mu.Unlock()
 	if target == nil || cut {
 		return len(b), nil
@@ -152,6 +168,7 @@
 	upstreams []*route.Upstream
 	pool      *route.Pool
 	versions  []atomic.Int64 // version in force at each instance
+	facts     []*testFacts   // of each instance
 }
 
 // runFleet runs a case with instances and upstreams on a virtual clock.
@@ -159,7 +176,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fl := &testFleet{
-			t: t, packets: &packets{sockets: map[string]*socket{}, cut: map[string]bool{}}, versions: make([]atomic.Int64, instances),
+			t: t, packets: newPackets(), versions: make([]atomic.Int64, instances),
 			pool: &route.Pool{Name: "model", Engine: &route.Engine{MemoryTokens: 500000}},
 		}
 		entries := map[string]*route.Upstream{}
@@ -238,6 +255,9 @@
 		Peers:            newTestPeers(fl.t, self.Peer, log),
 		Log:              log,
 	}
+	facts := newTestFacts(s.ShareFacts)
+	s.Facts = facts
+	fl.facts = append(fl.facts, facts)
 	fl.services = append(fl.services, s)
 	// Instances do not start at the same moment.
 	time.Sleep(time.Millisecond)
--- a/exchange/recall.go
+++ b/exchange/recall.go
@@ -23,9 +23,10 @@
 	maxRecalledParts  = 4000 // parts in one answer
 )
 
-// Prepare registers the handler of Picture.Recall. It is called before the peer
-// node runs.
+// Prepare registers the handlers of Picture.Recall and Quarantine.Fetch. It is called
+// before the peer node runs.
 func (s *Service) Prepare() {
+	s.prepareFacts()
 	s.Peers.Handle(recallMethod, func(context.Context, string, json.RawMessage) (any, error) {
 		return s.Picker.CachedParts(maxRecalledParts), nil
 	})
