Let the stand-in upstream crash on a part of the prompt

Faults.DeadlyPart names the part; OnCrash lets a simulation reset the upstream's connections and refuse new ones. A connection of the simulated network that was reset from outside now reads ECONNRESET at both ends, as a real one does, and no longer the error of a connection that its own side has closed.

--- a/simulation/network_test.go
+++ b/simulation/network_test.go
@@ -267,6 +267,7 @@
 	peer          *conn       // other end, set at the end that dialled
 	accepted      atomic.Bool // whether a listener has returned this end from Accept
 	stalled       atomic.Bool // whether the connection carries nothing any more
+	wasReset      atomic.Bool
 	readDeadline  time.Time
 	writeDeadline time.Time
 	closed        bool
@@ -311,14 +312,24 @@
 	return nil
 }
 
+// readError returns why nothing can be read any more, nil if it can.
+func (c *conn) readError() error {
+	switch deadline := c.deadline(true); {
+	case c.wasReset.Load():
+		return syscall.ECONNRESET
+	case c.isClosed():
+		return net.ErrClosed
+	case !deadline.IsZero() && !time.Now().Before(deadline):
+		return os.ErrDeadlineExceeded
+	}
+	return nil
+}
+
 func (c *conn) Read(p []byte) (int, error) {
 	h := c.in
 	for {
-		if c.isClosed() {
-			return 0, net.ErrClosed
-		}
-		if deadline := c.deadline(true); !deadline.IsZero() && !time.Now().Before(deadline) {
-			return 0, os.ErrDeadlineExceeded
+		if err := c.readError(); err != nil {
+			return 0, err
 		}
 		cut, changed := c.network.isCut(h.from, h.to)
 		cut = cut || c.stalled.Load()
@@ -402,7 +413,9 @@
 }
 
 func (c *conn) reset() {
-	c.markClosed()
+	if c.markClosed() {
+		c.wasReset.Store(true)
+	}
 	c.out.close(true)
 	c.in.close(true)
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 	notRunHeader    = "X-Knapweedwell-Not-Executed"
 	loadHeader      = "X-Knapweedwell-Server-Load"
 	lastEventHeader = "Last-Event-Id"
+	promptHeader    = "X-Knapweedwell-Prompt-Prefix"
 )
 
 // Faults holds the faults that are injected.
@@ -42,6 +44,7 @@
 	BreakAfter int           // number of complete events before a stream is aborted within the next one; zero means never
 	Delay      time.Duration // time until the first event or the answer
 	Pause      time.Duration // time between events
+	DeadlyPart string        // ID of the prompt part on which the upstream crashes when it begins to answer; empty for none
 }
 
 // ReceivedRequest is one request as received.
@@ -54,10 +57,13 @@
 	receivedAt time.Time
 }
 
-// Runner is a simulated upstream. ID, its upstream ID, is set before the first
-// request.
+// Runner is a simulated upstream. ID, its upstream ID, and OnCrash are set before the
+// first request.
 type Runner struct {
 	ID string
+	// OnCrash is called when the upstream crashes, and is to reset its connections; if
+	// nil, only the connection of the request is reset.
+	OnCrash func()
 
 	mu           sync.Mutex
 	faults       Faults
@@ -239,6 +245,12 @@
 		r.recordDisconnect()
 		return
 	}
+	if f.DeadlyPart != "" && holdsPart(req, f.DeadlyPart) {
+		if r.OnCrash != nil {
+			r.OnCrash()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if f.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
@@ -264,6 +276,17 @@
 	}
 }
 
+// holdsPart reports whether the prompt of a request has a part with the ID.
+func holdsPart(req *http.Request, id string) bool {
+	for _, item := range strings.Split(req.Header.Get(promptHeader), ",") {
+		part, _, _ := strings.Cut(strings.TrimSpace(item), ":")
+		if part == id {
+			return true
+		}
+	}
+	return false
+}
+
 // stream sends numbered events, starting after the last one that the client has
 // received according to its last-event header.
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, f Faults, id, events string) {
