Find the prompt parts that crash upstreams, from the crashes they were in

Package quarantine decides without a network. A crash is an incarnation of an upstream that broke off a waiting request and is then known to have ended; a break alone is none, nor is the end of an upstream that was leaving. A crash implicates all shared parts of the requests that waited there; an answer that the upstream survives clears them. Crashes within 200 ms are one occasion, so that a failure of many upstreams at one instant convicts nobody, and one address alone does not either. Three occasions convict (four if the part was answered in the minute before), the strongest part first, and of equal ones the last in the prompt; the crashes of a convicted part no longer count against others, also if the facts about it arrive later.

A verdict lasts ten minutes. Then one request at a time tries the part, with the leave of Trial: a crash convicts it again for twice the time, an answer releases it. From the second occasion on one request at a time is sent, and a request that broke off is not sent again.

--- /dev/null
+++ b/quarantine/attempt.go
@@ -0,0 +1,274 @@
+package quarantine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"knapweedwell/request"
+	"knapweedwell/route"
+)
+
+const (
+	settleTime    = 250 * time.Millisecond // time after the first event that an upstream must survive
+	breakTime     = 10 * time.Second       // time for which a broken connection is remembered
+	leavingTime   = 5 * time.Minute        // time for which a leaving upstream is remembered
+	maxBreaks     = 256                    // upstreams with broken connections
+	maxBreakParts = 256                    // parts that waited at one upstream
+	maxLeaving    = 1024
+)
+
+// incarnation is an upstream from one start to its end.
+type incarnation struct {
+	id   string
+	born int64
+}
+
+// breakOff is what is known of an upstream that broke off requests.
+type breakOff struct {
+	at      time.Time
+	parts   []uint64 // of the requests that waited, in the order of their prompts
+	crashed bool
+}
+
+// CrashID returns the ID of the crash of an upstream. The upper half depends on its
+// address only, so that crashes at one address can be told from those at several.
+func CrashID(u *route.Upstream) uint64 {
+	start := xxhash.Sum64String(u.ID + " " + strconv.FormatInt(u.Born, 10))
+	return xxhash.Sum64String(u.Address)>>addressHashBits<<addressHashBits | start>>addressHashBits
+}
+
+// Attempt is one send of a request to an upstream, from Begin to End. It is used by one
+// goroutine.
+type Attempt struct {
+	quarantine  *Quarantine
+	upstream    *route.Upstream
+	parts       []request.Part
+	counted     []*suspect // whose number of running requests includes this one
+	answeringAt time.Time
+	cleared     bool
+}
+
+// Outcome is the way in which an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	Served Outcome = iota // the answer was received in full
+	Broken                // the upstream closed or reset the connection before its end
+	Other                 // nothing follows about the parts or the upstream
+)
+
+// Begin records that a request with the shared parts is sent to an upstream. It returns
+// a refusal instead if it must not be sent.
+func (q *Quarantine) Begin(now time.Time, u *route.Upstream, parts []request.Part) (*Attempt, *Refusal) {
+	a := &Attempt{quarantine: q, upstream: u, parts: parts}
+	if len(parts) == 0 {
+		return a, nil
+	}
+	q.mu.Lock()
+	refusal := q.check(now, parts)
+	if refusal == nil {
+		a.count(now)
+	}
+	q.unlock()
+	if refusal == nil {
+		refusal = a.trial(now)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return a, nil
+}
+
+// count counts the attempt at each part that is limited to one request at a time. The
+// caller holds the quarantine's lock.
+func (a *Attempt) count(now time.Time) {
+	q := a.quarantine
+	for _, part := range a.parts {
+		if s := q.suspects[part.ID]; s != nil && s.limited(now, q.explained(now)) {
+			s.running++
+			a.counted = append(a.counted, s)
+		}
+	}
+}
+
+// trial asks whether the parts whose verdict has ended may be tried, and returns a
+// refusal if one may not.
+func (a *Attempt) trial(now time.Time) *Refusal {
+	q := a.quarantine
+	if q.Trial == nil {
+		return nil
+	}
+	for _, s := range a.counted {
+		q.mu.Lock()
+		probation, crashes := s.onProbation(now), s.verdict.Crashes
+		q.mu.Unlock()
+		if probation && !q.Trial(s.part) {
+			a.End(now, Other)
+			return &Refusal{Part: s.part, Crashes: crashes, RetryAfter: suspectRetryAfter}
+		}
+	}
+	return nil
+}
+
+// Event records that events of the answer were received.
+func (a *Attempt) Event(now time.Time) {
+	switch {
+	case len(a.parts) == 0 || a.cleared:
+	case a.answeringAt.IsZero():
+		a.answeringAt = now
+	case now.Sub(a.answeringAt) >= settleTime:
+		a.clear(now)
+	}
+}
+
+// clear records that the upstream has survived an answer on the parts.
+func (a *Attempt) clear(now time.Time) {
+	a.cleared = true
+	q := a.quarantine
+	q.mu.Lock()
+	defer q.unlock()
+	for _, part := range a.parts {
+		q.answered.record(part.ID, now)
+		q.clear(now, part.ID, now, ownSource)
+	}
+}
+
+// MayRetry reports whether the request may be sent to another upstream after this one
+// broke off: it may not if a part of it, which no upstream answered lately, was also
+// implicated in another crash.
+func (a *Attempt) MayRetry(now time.Time) bool {
+	q := a.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range a.parts {
+		s := q.suspects[part.ID]
+		if s == nil || a.cleared || s.answeredRecently(now) {
+			continue
+		}
+		if n, _ := s.occasions(now, q.explained(now), CrashID(a.upstream)); n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// End records the end of the attempt. It reports whether the caller should find out
+// whether the upstream has crashed, and then call Crashed or Survived.
+func (a *Attempt) End(now time.Time, o Outcome) bool {
+	if len(a.parts) == 0 {
+		return false
+	}
+	if o == Served && !a.cleared {
+		a.clear(now)
+	}
+	q := a.quarantine
+	q.mu.Lock()
+	defer q.unlock()
+	for _, s := range a.counted {
+		s.running--
+	}
+	a.counted = nil
+	if o != Broken || a.cleared {
+		return false
+	}
+	return q.recordBreak(now, a)
+}
+
+// recordBreak records that an upstream broke off a waiting request. It reports whether
+// it is the first one. The caller holds q.mu.
+func (q *Quarantine) recordBreak(now time.Time, a *Attempt) bool {
+	if _, known := q.leaving[a.upstream.ID]; known {
+		return false
+	}
+	in := incarnation{id: a.upstream.ID, born: a.upstream.Born}
+	b := q.breaks[in]
+	first := b == nil
+	if first {
+		q.sweepBreaks(now)
+		if len(q.breaks) >= maxBreaks {
+			return false
+		}
+		b = &breakOff{at: now}
+		q.breaks[in] = b
+	}
+	for _, part := range a.parts {
+		if b.crashed {
+			q.implicate(now, part.ID, a.crash(b, now), ownSource)
+		} else if len(b.parts) < maxBreakParts {
+			b.parts = append(b.parts, part.ID)
+		}
+	}
+	if b.crashed {
+		q.decide(now)
+	}
+	return first
+}
+
+// crash returns the crash of the attempt's upstream.
+func (a *Attempt) crash(b *breakOff, now time.Time) crash {
+	return crash{id: CrashID(a.upstream), at: b.at, learnedAt: now, upstream: a.upstream.ID}
+}
+
+// sweepBreaks deletes old records. The caller holds q.mu.
+func (q *Quarantine) sweepBreaks(now time.Time) {
+	if q.breaks == nil {
+		q.breaks = map[incarnation]*breakOff{}
+	}
+	for in, b := range q.breaks {
+		if now.Sub(b.at) > breakTime {
+			delete(q.breaks, in)
+		}
+	}
+}
+
+// Crashed records that an upstream which broke off requests has ended.
+func (q *Quarantine) Crashed(now time.Time, u *route.Upstream) {
+	q.mu.Lock()
+	defer q.unlock()
+	b := q.breaks[incarnation{id: u.ID, born: u.Born}]
+	if b == nil || b.crashed {
+		return
+	}
+	if _, known := q.leaving[u.ID]; known {
+		return
+	}
+	b.crashed = true
+	c := crash{id: CrashID(u), at: b.at, learnedAt: now, upstream: u.ID}
+	for _, part := range b.parts {
+		q.implicate(now, part, c, ownSource)
+	}
+	b.parts = nil
+	q.decide(now)
+}
+
+// Survived records that an upstream which broke off requests still runs.
+func (q *Quarantine) Survived(u *route.Upstream) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	in := incarnation{id: u.ID, born: u.Born}
+	if b := q.breaks[in]; b != nil && !b.crashed {
+		delete(q.breaks, in)
+	}
+}
+
+// Leaving records that upstreams are leaving, so that their end is no crash.
+func (q *Quarantine) Leaving(now time.Time, ids []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.leaving == nil {
+		q.leaving = map[string]time.Time{}
+	}
+	for id, at := range q.leaving {
+		if now.Sub(at) > leavingTime {
+			delete(q.leaving, id)
+		}
+	}
+	for _, id := range ids {
+		if len(q.leaving) < maxLeaving {
+			q.leaving[id] = now
+		}
+	}
+}
--- a/quarantine/fact.go
+++ b/quarantine/fact.go
@@ -12,7 +12,7 @@
 // that upstream crashed. Facts with the same part and crash are one.
 type Implicated struct {
 	Part  uint64
-	Crash uint64 // hash of the upstream's ID and start
+	Crash uint64 // as CrashID returns it
 	At    time.Time
 }
 
--- /dev/null
+++ b/quarantine/merge.go
@@ -0,0 +1,103 @@
+package quarantine
+
+import "time"
+
+const (
+	freshTime = 15 * time.Second // age up to which peers are told of crashes and answers
+	maxFacts  = 64               // facts that are told at once
+
+	// Times from peers that differ by less than the tolerance are the same, because each
+	// transport translates them to the local clock anew.
+	answerTolerance  = 100 * time.Millisecond
+	verdictTolerance = time.Second
+)
+
+// Apply applies facts from other instances or from the store.
+func (q *Quarantine) Apply(now time.Time, facts []Fact) {
+	q.mu.Lock()
+	defer q.unlock()
+	before := q.generation
+	for _, fact := range facts {
+		switch f := fact.(type) {
+		case Implicated:
+			if now.Sub(f.At) <= evidenceTime {
+				q.implicate(now, f.Part, crash{id: f.Crash, at: f.At, learnedAt: now}, peerSource)
+			}
+		case Answered:
+			q.applyAnswer(now, f.Part, f.At)
+		case Released:
+			q.applyAnswer(now, f.Part, f.At)
+		case Convicted:
+			q.applyVerdict(now, f)
+		}
+	}
+	if q.generation > before {
+		q.decide(now)
+	}
+}
+
+// applyAnswer applies an answer that a peer has seen. The caller holds q.mu.
+func (q *Quarantine) applyAnswer(now time.Time, part uint64, at time.Time) {
+	known := q.answered.at(part)
+	if s := q.suspects[part]; s != nil {
+		known = s.answeredAt
+	}
+	if at.Sub(known) < answerTolerance {
+		return
+	}
+	q.answered.record(part, at)
+	q.clear(now, part, at, peerSource)
+}
+
+// applyVerdict applies a verdict of a peer or from the store. The caller holds q.mu.
+func (q *Quarantine) applyVerdict(now time.Time, v Convicted) {
+	s := q.suspectOf(now, v.Part)
+	if !v.At.After(s.answeredAt) {
+		q.shareAnswer(now, s)
+		return
+	}
+	if s.tried() && v.Until.Sub(s.verdict.Until) < verdictTolerance {
+		return
+	}
+	s.verdict = v
+	s.released = false
+	if s.expired(now) {
+		delete(q.suspects, v.Part)
+		return
+	}
+	q.generation++
+	q.log(now, s, peerSource).Warn("prompt part is quarantined")
+}
+
+// Facts returns the facts that other instances need, the most important first.
+func (q *Quarantine) Facts(now time.Time) []Fact {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var verdicts, news []Fact
+	for _, s := range q.sorted() {
+		if s.tried() {
+			verdicts = append(verdicts, s.verdict)
+		}
+		news = append(news, s.news(now)...)
+	}
+	facts := append(verdicts, news...)
+	return facts[:min(len(facts), maxFacts)]
+}
+
+// news returns the recent facts about a part, except its verdict.
+func (s *suspect) news(now time.Time) []Fact {
+	var facts []Fact
+	if now.Before(s.shareAnswerUntil) {
+		if s.released {
+			facts = append(facts, Released{Part: s.part, At: s.answeredAt})
+		} else {
+			facts = append(facts, Answered{Part: s.part, At: s.answeredAt})
+		}
+	}
+	for _, c := range s.crashes {
+		if now.Sub(c.learnedAt) <= freshTime {
+			facts = append(facts, Implicated{Part: s.part, Crash: c.id, At: c.at})
+		}
+	}
+	return facts
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,6 +5,25 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"knapweedwell/request"
+)
+
+const (
+	verdictTime    = 10 * time.Minute // length of a first verdict; each further one is twice as long
+	maxVerdictTime = 2 * time.Hour
+	evidenceTime   = 10 * time.Minute // age up to which a crash counts
+	recentTime     = time.Minute      // age up to which an answer makes a further crash necessary
+
+	// Crashes within occasionTime may have one cause that is no request, such as a power
+	// failure, and count as one occasion.
+	occasionTime = 200 * time.Millisecond
+
+	suspectOccasions = 2 // occasions that make a part suspect
+	convictOccasions = 3 // occasions that convict a part
+	minAddresses     = 2 // different addresses among them
+
+	suspectRetryAfter = time.Second // advised while another request tries a suspected part
 )
 
 // Quarantine holds what is known of the prompt parts that may crash upstreams. The
@@ -14,16 +33,81 @@
 	// OnChange is called after this instance has learned a fact by itself, so that it
 	// can be sent at once; may be nil.
 	OnChange func()
+	// Trial reports whether this instance may send the next request with a part whose
+	// verdict has ended; nil allows each.
+	Trial func(part uint64) bool
 
 	mu         sync.Mutex
 	generation uint64
+	changed    bool // OnChange is due
+	suspects   map[uint64]*suspect
+	created    uint64 // number of suspects so far
+	answered   answeredParts
+	breaks     map[incarnation]*breakOff
+	leaving    map[string]time.Time // when upstreams were seen to leave, by ID
+	refusals   int64
 }
 
-// Apply applies facts from other instances or from the store.
-func (q *Quarantine) Apply(now time.Time, facts []Fact) {}
+// Refusal states why a request is not sent.
+type Refusal struct {
+	Part        uint64
+	Crashes     int
+	RetryAfter  time.Duration
+	Quarantined bool // a verdict is in force; otherwise another request tries the part
+}
 
-// Facts returns the facts that other instances need, the most important first.
-func (q *Quarantine) Facts(now time.Time) []Fact { return nil }
+// Check returns a refusal if a request with the parts would not be sent now, else nil.
+func (q *Quarantine) Check(now time.Time, parts []request.Part) *Refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.check(now, parts)
+}
+
+// check is Check. The caller holds q.mu.
+func (q *Quarantine) check(now time.Time, parts []request.Part) *Refusal {
+	for _, part := range parts {
+		s := q.suspects[part.ID]
+		if s == nil {
+			continue
+		}
+		switch {
+		case s.convicted(now):
+			q.refusals++
+			return &Refusal{Part: s.part, Crashes: s.verdict.Crashes, RetryAfter: s.verdict.Until.Sub(now), Quarantined: true}
+		case s.running > 0 && s.limited(now, q.explained(now)):
+			q.refusals++
+			return &Refusal{Part: s.part, Crashes: len(s.crashes), RetryAfter: suspectRetryAfter}
+		}
+	}
+	return nil
+}
+
+// Verdicts returns the verdicts in force.
+func (q *Quarantine) Verdicts(now time.Time) []Convicted {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var verdicts []Convicted
+	for _, s := range q.sorted() {
+		if s.convicted(now) {
+			verdicts = append(verdicts, s.verdict)
+		}
+	}
+	return verdicts
+}
+
+// Refusals returns the number of refusals so far.
+func (q *Quarantine) Refusals() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.refusals
+}
+
+// Suspects returns the number of parts that are known to have been in crashes.
+func (q *Quarantine) Suspects() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.suspects)
+}
 
 // Generation returns a number that rises whenever the result of Facts gains a fact.
 func (q *Quarantine) Generation() uint64 {
@@ -32,5 +116,88 @@
 	return q.generation
 }
 
-// Verdicts returns the verdicts in force.
-func (q *Quarantine) Verdicts(now time.Time) []Convicted { return nil }
+// announce records that Facts has gained a fact by this instance's own means. The
+// caller holds q.mu.
+func (q *Quarantine) announce() {
+	q.generation++
+	q.changed = true
+}
+
+// unlock unlocks q.mu and calls OnChange if it is due.
+func (q *Quarantine) unlock() {
+	due := q.changed
+	q.changed = false
+	q.mu.Unlock()
+	if due && q.OnChange != nil {
+		q.OnChange()
+	}
+}
+
+// decide convicts each part with enough evidence, the strongest first, because the
+// crashes that one verdict explains no longer count against other parts. Of equal ones
+// it is the last in the prompt, which fewer requests share. The caller holds q.mu.
+func (q *Quarantine) decide(now time.Time) {
+	for {
+		explained := q.explained(now)
+		var strongest *suspect
+		most := 0
+		for _, s := range q.suspects {
+			n, enough := s.evidence(now, explained)
+			if !enough || n < most || (n == most && strongest != nil && s.number < strongest.number) {
+				continue
+			}
+			strongest, most = s, n
+		}
+		if strongest == nil {
+			break
+		}
+		q.convict(now, strongest)
+	}
+	q.reconsider(now)
+}
+
+// reconsider ends each first verdict whose crashes are explained by a part with more
+// crashes, as when facts from peers arrive after it. The caller holds q.mu.
+func (q *Quarantine) reconsider(now time.Time) {
+	for _, s := range q.suspects {
+		if !s.convicted(now) || len(s.crashes) == 0 || s.verdict.Until.Sub(s.verdict.At) > verdictTime {
+			continue
+		}
+		stronger := map[uint64]bool{}
+		for _, o := range q.suspects {
+			if o.convicted(now) && len(o.crashes) > len(s.crashes) {
+				o.addTo(stronger)
+			}
+		}
+		if n, _ := s.occasions(now, stronger, 0); n < convictOccasions && len(stronger) > 0 {
+			q.clear(now, s.part, now, ownSource)
+		}
+	}
+}
+
+// convict gives a part a verdict. The caller holds q.mu.
+func (q *Quarantine) convict(now time.Time, s *suspect) {
+	length := verdictTime
+	if s.tried() {
+		length = min(2*s.verdict.Until.Sub(s.verdict.At), maxVerdictTime)
+	}
+	s.verdict = Convicted{Part: s.part, At: now, Until: now.Add(length), Crashes: len(s.crashes)}
+	q.announce()
+	q.log(now, s, ownSource).Warn("prompt part is quarantined")
+}
+
+// explained returns the crashes that the parts with a verdict explain. The caller
+// holds q.mu.
+func (q *Quarantine) explained(now time.Time) map[uint64]bool {
+	var crashes map[uint64]bool
+	for _, s := range q.suspects {
+		if !s.convicted(now) {
+			continue
+		}
+		if crashes == nil {
+			crashes = map[uint64]bool{}
+		}
+		s.addTo(crashes)
+	}
+	return crashes
+}
--- /dev/null
+++ b/quarantine/suspect.go
@@ -0,0 +1,306 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	maxSuspects     = 1024
+	maxCrashes      = 16 // crashes kept for a part
+	maxLoggedNames  = 8
+	addressHashBits = 32 // upper bits of a crash's ID, which tell addresses apart
+
+	ownSource  = "own"
+	peerSource = "peer"
+)
+
+// suspect is what is known of a part that was implicated in a crash.
+type suspect struct {
+	part       uint64
+	number     uint64    // rises from suspect to suspect
+	crashes    []crash   // not voided by an answer, the oldest first
+	answeredAt time.Time // when an upstream last survived an answer
+	verdict    Convicted // zero if there is none
+	running    int       // number of requests with the part while it is suspected or was convicted
+	touchedAt  time.Time // when a fact about the part was last learned
+	suspected  bool      // the suspicion was logged
+
+	shareAnswerUntil time.Time // until when peers are told of the answer
+	released         bool      // the answer ended a verdict
+}
+
+// crash is a crash in which a part was implicated.
+type crash struct {
+	id        uint64
+	at        time.Time
+	learnedAt time.Time
+	upstream  string // empty if a peer saw it
+}
+
+// tried reports whether the part had a verdict that no answer has ended.
+func (s *suspect) tried() bool {
+	return !s.verdict.At.IsZero()
+}
+
+// convicted reports whether a verdict is in force.
+func (s *suspect) convicted(now time.Time) bool {
+	return s.tried() && now.Before(s.verdict.Until)
+}
+
+// onProbation reports whether the part's verdict has ended by time.
+func (s *suspect) onProbation(now time.Time) bool {
+	return s.tried() && !now.Before(s.verdict.Until)
+}
+
+// occasions returns the number of occasions on which upstreams crashed, and whether
+// they were at enough addresses. It leaves out explained crashes and the one with the
+// ID except.
+func (s *suspect) occasions(now time.Time, explained map[uint64]bool, except uint64) (int, bool) {
+	n := 0
+	var start time.Time
+	addresses := map[uint64]bool{}
+	for _, c := range s.crashes {
+		if explained[c.id] || c.id == except || now.Sub(c.at) > evidenceTime {
+			continue
+		}
+		addresses[c.id>>addressHashBits] = true
+		if n == 0 || c.at.Sub(start) > occasionTime {
+			n++
+			start = c.at
+		}
+	}
+	return n, len(addresses) >= minAddresses
+}
+
+// evidence returns the number of occasions against a part without a verdict in force,
+// and whether they convict it.
+func (s *suspect) evidence(now time.Time, explained map[uint64]bool) (int, bool) {
+	if s.convicted(now) {
+		return 0, false
+	}
+	n, spread := s.occasions(now, explained, 0)
+	if s.onProbation(now) {
+		last := len(s.crashes) - 1
+		return n, last >= 0 && !s.crashes[last].at.Before(s.verdict.Until) && !explained[s.crashes[last].id]
+	}
+	return n, spread && n >= convictOccasions+s.furtherOccasions()
+}
+
+// furtherOccasions returns the number of further occasions that are necessary against a
+// part which was answered shortly before.
+func (s *suspect) furtherOccasions() int {
+	if len(s.crashes) > 0 && s.answeredRecently(s.crashes[0].at) {
+		return 1
+	}
+	return 0
+}
+
+// answeredRecently reports whether an upstream answered the part shortly before time t.
+func (s *suspect) answeredRecently(t time.Time) bool {
+	return !s.answeredAt.IsZero() && t.Sub(s.answeredAt) < recentTime
+}
+
+// limited reports whether only one request with the part may run at a time.
+func (s *suspect) limited(now time.Time, explained map[uint64]bool) bool {
+	if s.onProbation(now) {
+		return true
+	}
+	n, _ := s.occasions(now, explained, 0)
+	return n >= suspectOccasions+s.furtherOccasions()
+}
+
+// addCrash adds a crash unless it is known or voided by an answer. It reports whether it
+// was added.
+func (s *suspect) addCrash(c crash) bool {
+	if !c.at.After(s.answeredAt) || slices.ContainsFunc(s.crashes, func(o crash) bool { return o.id == c.id }) {
+		return false
+	}
+	s.crashes = append(s.crashes, c)
+	slices.SortStableFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	if over := len(s.crashes) - maxCrashes; over > 0 {
+		s.crashes = slices.Delete(s.crashes, 0, over)
+	}
+	return true
+}
+
+// addTo adds the IDs of the crashes to a set.
+func (s *suspect) addTo(crashes map[uint64]bool) {
+	for _, c := range s.crashes {
+		crashes[c.id] = true
+	}
+}
+
+// answer records that an upstream survived an answer at a time. It reports whether that
+// voided a crash or a verdict.
+func (s *suspect) answer(at time.Time) bool {
+	if !at.After(s.answeredAt) {
+		return false
+	}
+	s.answeredAt = at
+	before := len(s.crashes)
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
+	voided := len(s.crashes) < before
+	if s.tried() && !s.verdict.At.After(at) {
+		s.verdict = Convicted{}
+		s.released = true
+		voided = true
+	}
+	return voided
+}
+
+// suspectOf returns the suspect of a part and creates it if necessary. The caller holds
+// q.mu.
+func (q *Quarantine) suspectOf(now time.Time, part uint64) *suspect {
+	s := q.suspects[part]
+	if s != nil {
+		s.touchedAt = now
+		return s
+	}
+	if q.suspects == nil {
+		q.suspects = map[uint64]*suspect{}
+	}
+	q.makeRoom(now)
+	q.created++
+	s = &suspect{part: part, number: q.created, answeredAt: q.answered.at(part), touchedAt: now}
+	q.suspects[part] = s
+	return s
+}
+
+// makeRoom deletes the suspects of no more use and, if there are still too many, the
+// least important one. The caller holds q.mu.
+func (q *Quarantine) makeRoom(now time.Time) {
+	var least *suspect
+	for part, s := range q.suspects {
+		if s.running > 0 {
+			continue
+		}
+		if s.expired(now) {
+			delete(q.suspects, part)
+			continue
+		}
+		if least == nil || s.lessImportant(least) {
+			least = s
+		}
+	}
+	if len(q.suspects) >= maxSuspects && least != nil {
+		delete(q.suspects, least.part)
+	}
+}
+
+// expired reports whether nothing that is known of the part counts any more.
+func (s *suspect) expired(now time.Time) bool {
+	if s.tried() {
+		return now.Sub(s.verdict.Until) > 2*s.verdict.Until.Sub(s.verdict.At)
+	}
+	return now.Sub(s.touchedAt) > evidenceTime
+}
+
+// lessImportant reports whether s is deleted before o.
+func (s *suspect) lessImportant(o *suspect) bool {
+	if s.tried() != o.tried() {
+		return o.tried()
+	}
+	if len(s.crashes) != len(o.crashes) {
+		return len(s.crashes) < len(o.crashes)
+	}
+	return s.touchedAt.Before(o.touchedAt)
+}
+
+// sorted returns the suspects, those with the most recent news first. The caller holds
+// q.mu.
+func (q *Quarantine) sorted() []*suspect {
+	all := make([]*suspect, 0, len(q.suspects))
+	for _, s := range q.suspects {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *suspect) int {
+		if c := b.touchedAt.Compare(a.touchedAt); c != 0 {
+			return c
+		}
+		return int(a.number) - int(b.number)
+	})
+	return all
+}
+
+// implicate records that a part was implicated in a crash. The caller holds q.mu.
+func (q *Quarantine) implicate(now time.Time, part uint64, c crash, source string) {
+	s := q.suspectOf(now, part)
+	if !s.addCrash(c) {
+		if source == peerSource && !c.at.After(s.answeredAt) {
+			q.shareAnswer(now, s)
+		}
+		return
+	}
+	q.generation++
+	if source == ownSource {
+		q.changed = true
+	}
+	if !s.suspected && !s.tried() && s.limited(now, q.explained(now)) {
+		s.suspected = true
+		q.log(now, s, source).Warn("prompt part is suspected")
+	}
+}
+
+// shareAnswer lets peers know of the part's answer unless that was done just now. The
+// caller holds q.mu.
+func (q *Quarantine) shareAnswer(now time.Time, s *suspect) {
+	if now.Before(s.shareAnswerUntil.Add(-freshTime / 2)) {
+		return
+	}
+	s.shareAnswerUntil = now.Add(freshTime)
+	s.touchedAt = now
+	q.announce()
+}
+
+// clear records an answer with a part. The caller holds q.mu.
+func (q *Quarantine) clear(now time.Time, part uint64, at time.Time, source string) {
+	s := q.suspects[part]
+	if s == nil {
+		return
+	}
+	convicted := s.tried()
+	age := q.log(now, s, source)
+	if !s.answer(at) {
+		return
+	}
+	s.touchedAt = now
+	q.generation++
+	if source == ownSource {
+		s.shareAnswerUntil = now.Add(freshTime)
+		q.changed = true
+	}
+	if len(s.crashes) == 0 && (s.suspected || (convicted && !s.tried())) {
+		s.suspected = false
+		age.Info("prompt part is released")
+	}
+}
+
+// log returns a log entry with the evidence against a part. The caller holds q.mu.
+func (q *Quarantine) log(now time.Time, s *suspect, source string) *logrus.Entry {
+	occasions, _ := s.occasions(now, nil, 0)
+	var upstreams []string
+	for _, c := range s.crashes {
+		if c.upstream != "" && len(upstreams) < maxLoggedNames {
+			upstreams = append(upstreams, c.upstream)
+		}
+	}
+	fields := logrus.Fields{
+		"Part": PartName(s.part), "Crashes": len(s.crashes), "Occasions": occasions, "Upstreams": upstreams, "Source": source,
+	}
+	if len(s.crashes) > 0 {
+		fields["AgeMillis"] = now.Sub(s.crashes[0].at).Milliseconds()
+	}
+	if s.tried() {
+		fields["RemainingSeconds"] = int(s.verdict.Until.Sub(now).Seconds())
+	}
+	return q.Log.WithFields(fields)
+}
+
+// PartName returns a part's ID as it is logged.
+func PartName(part uint64) string {
+	return fmt.Sprintf("%x", part)
+}
