Refuse requests with a prompt part that crashes upstreams

Cause: a request whose upstream crashed before the first event was sent to a second one and crashed it too, and nothing connected one crash with the next. In the logs a crash is an EOF or a reset of all connections within 15 ms, then refused connections, and a new ID some seconds later.

Ruled out: counting each break as a crash. Resets of our own connections and garbled answers look the same at first, so one connection is tried 30 ms after the first break of an incarnation, and only a refused one, or a new start in the roster, counts.

A request with a quarantined part is refused with 503 as not run, Retry-After being the remaining time of the verdict, before a choice, before a retry and again right before it is sent. It draws nothing from the retry budget and says nothing about an upstream. The log line of the request's end names the part; two metrics count refusals and verdicts. The instances don't share what they learn yet.

Result: TestDeadlyPartCrashesNoFurtherUpstreams, in which the test itself carries facts between the instances, shows 4 crashes and no late request in 5 of 5 runs. With refusals switched off it failed in 3 of 3 runs: 78 to 80 crashes, 58 to 61 requests later than 4 s after the fifth.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"knapweedwell/metric"
 	"knapweedwell/peer"
 	"knapweedwell/platform"
+	"knapweedwell/quarantine"
 	"knapweedwell/roster"
 	"knapweedwell/route"
 	"knapweedwell/routing"
@@ -52,6 +53,7 @@
 	Routing    *routing.Manager
 	Roster     *roster.Service
 	Exchange   *exchange.Service
+	Quarantine *quarantine.Quarantine
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
@@ -73,6 +75,7 @@
 	i.metrics = metric.New()
 	i.store = platform.New(i.Settings.Platform, i.Dial)
 	i.connections = &httpwire.ConnPool{Dial: i.Dial}
+	i.Quarantine = &quarantine.Quarantine{Log: i.Log}
 	i.picker = balancer.New(i.Settings.Zone, i.Settings.Routes.Zones)
 	i.buildMembership()
 	i.buildState()
@@ -124,7 +127,10 @@
 	}
 	i.Roster = &roster.Service{
 		Platform: i.store, Peers: i.Peers, Log: i.Log, Role: i.role, Deadline: i.Settings.Routes.LeavingDeadline,
-		OnChange: func(*roster.Roster) { i.stateChanged() },
+		OnChange: func(r *roster.Roster) {
+			i.Quarantine.Leaving(time.Now(), r.Leaving())
+			i.stateChanged()
+		},
 	}
 	i.Routing.Prepare()
 	i.Roster.Prepare()
@@ -187,6 +193,7 @@
 		Picker:           i.picker,
 		Connections:      i.connections,
 		Budget:           &budget.Budget{Ratio: r.RetryRatio, Window: r.RetryWindow, Slack: r.RetrySlack, Instances: i.instances},
+		Quarantine:       i.Quarantine,
 		Metrics:          i.metrics,
 		Check:            i.Check,
 		Log:              i.Log,
@@ -202,6 +209,8 @@
 	i.metrics.Gauge("knapweedwell_datagrams_sent_total", func() float64 { return float64(i.Exchange.Counts().Sent) })
 	i.metrics.Gauge("knapweedwell_datagrams_received_total", func() float64 { return float64(i.Exchange.Counts().Received) })
 	i.metrics.Gauge("knapweedwell_datagram_bytes_sent_total", func() float64 { return float64(i.Exchange.Counts().SentBytes) })
+	i.metrics.Gauge("knapweedwell_quarantined_parts", func() float64 { return float64(len(i.Quarantine.Verdicts(time.Now()))) })
+	i.metrics.Gauge("knapweedwell_quarantine_refusals_total", func() float64 { return float64(i.Quarantine.Refusals()) })
 	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
 	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
 		dialed, _ := i.connections.Counts()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"knapweedwell/background"
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
 	"knapweedwell/httpwire"
@@ -25,6 +26,7 @@
 	"knapweedwell/kernel"
 	"knapweedwell/metric"
 	"knapweedwell/platform"
+	"knapweedwell/quarantine"
 	"knapweedwell/roster"
 	"knapweedwell/route"
 	"knapweedwell/webserver"
@@ -46,6 +48,7 @@
 	Picker           *balancer.Picker
 	Connections      *httpwire.ConnPool
 	Budget           *budget.Budget
+	Quarantine       *quarantine.Quarantine
 	Metrics          *metric.Registry
 	Check            *invariant.Checker
 	Log              logrus.FieldLogger
@@ -56,6 +59,7 @@
 	mu      sync.Mutex
 	active  int       // number of requests in progress
 	lastEnd time.Time // when a request last ended
+	probes  background.Group
 }
 
 // Run starts listening.
@@ -72,7 +76,9 @@
 
 // Close closes all connections.
 func (s *Server) Close() error {
-	return s.server.Close()
+	err := s.server.Close()
+	s.probes.Close()
+	return err
 }
 
 // Leave begins the planned stop: each connection is closed after its next
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -13,6 +13,7 @@
 	"knapweedwell/invariant"
 	"knapweedwell/metric"
 	"knapweedwell/platform"
+	"knapweedwell/quarantine"
 	"knapweedwell/request"
 	"knapweedwell/route"
 )
@@ -55,10 +56,12 @@
 	delivered   bool            // whether the whole answer was written to the caller
 	status      int
 	stream      stream
-	firstByte   time.Duration   // from arrival to the start of the answer
-	choice      balancer.Choice // the picker's most recent choice
-	callerGone  bool            // whether the caller disconnected or an answer could not be written to it
-	reused      bool            // whether the most recent connection had served an earlier request
+	firstByte   time.Duration       // from arrival to the start of the answer
+	choice      balancer.Choice     // the picker's most recent choice
+	callerGone  bool                // whether the caller disconnected or an answer could not be written to it
+	reused      bool                // whether the most recent connection had served an earlier request
+	watched     *quarantine.Attempt // most recent send
+	refusal     *quarantine.Refusal // because of a part of the prompt, nil if there was none
 }
 
 // serve sends the request to upstreams until one of them answers or no further
@@ -77,6 +80,9 @@
 		if ctx.Err() != nil {
 			return rs.contextDone(ctx)
 		}
+		if refusal := rs.s.Quarantine.Check(time.Now(), rs.headers.Prompt.Shared()); refusal != nil {
+			return rs.withhold(refusal)
+		}
 		r := balancer.Request{
 			Pool: rs.pool, Rank: rs.rank, LowestRank: rs.table.LowestRank(name), Prompt: &rs.headers.Prompt,
 			GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, name), Avoid: rs.avoid,
@@ -111,6 +117,8 @@
 		if rs.unreachable++; rs.unreachable > maxUnreachable {
 			return rs.giveUp("%d upstreams cannot be reached", rs.unreachable), true
 		}
+	case withheld:
+		return rs.withhold(res.refusal), true
 	case rejected:
 		rs.warn("upstream refused", res.reason)
 		rs.avoid[id] = true
@@ -123,7 +131,7 @@
 			return rs.contextDone(ctx), true
 		}
 		rs.warn("upstream broke off", res.reason)
-		if !rs.mayRetry() {
+		if !rs.mayRetry() || !rs.watched.MayRetry(time.Now()) {
 			return rs.giveUp("the upstream broke off: %s", res.reason), true
 		}
 	case failed:
@@ -184,6 +192,7 @@
 	conn, err := rs.s.Connections.Get(ctx, u.ID, u.Address, rs.headers.ID)
 	if err != nil {
 		attempt.End(time.Now(), balancer.Unreachable)
+		rs.s.reportRefused(u, err)
 		return notSent{reason: err.Error()}
 	}
 	rs.reused = conn.Reused
@@ -195,10 +204,17 @@
 		attempt.End(time.Now(), balancer.Abandoned)
 		return notSent{reason: "the upstream has begun to leave"}
 	}
+	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared())
+	if refusal != nil {
+		conn.Close()
+		attempt.End(time.Now(), balancer.Abandoned)
+		return withheld{refusal: refusal}
+	}
+	rs.watched = watched
 	rs.s.Check.Check(invariant.AtMostOnce, rs.route.Repeatable() || rs.runs == 0,
 		"request %s may run once only and is sent after %d runs", rs.headers.ID, rs.runs)
 	stop := context.AfterFunc(ctx, conn.Interrupt)
-	t := &transfer{rs: rs, ctx: ctx, conn: conn, attempt: attempt}
+	t := &transfer{rs: rs, ctx: ctx, conn: conn, attempt: attempt, watched: watched}
 	unwatch := t.watchSilence()
 	res := t.roundTrip(rs.outgoing(u))
 	unwatch()
@@ -315,6 +331,10 @@
 	if f != nil {
 		fields["Reason"] = f.Message
 	}
+	if rs.refusal != nil {
+		fields["Part"] = quarantine.PartName(rs.refusal.Part)
+		fields["Quarantined"] = rs.refusal.Quarantined
+	}
 	rs.s.Log.WithFields(fields).Info("request ended")
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -47,6 +47,7 @@
 			now := time.Now()
 			t.attempt.First(now)
 			t.attempt.Event(now)
+			t.watched.Event(now)
 			rs.stream.recordGap(now)
 			if werr := rs.writeEvents(t, pending[:complete]); werr != nil {
 				t.keep = false
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -13,6 +13,7 @@
 	"knapweedwell/balancer"
 	"knapweedwell/httpwire"
 	"knapweedwell/platform"
+	"knapweedwell/quarantine"
 )
 
 const (
@@ -77,6 +78,7 @@
 	ctx     context.Context
 	conn    *httpwire.Conn
 	attempt *balancer.Attempt
+	watched *quarantine.Attempt
 	resp    *http.Response
 	keep    bool // whether the connection may be reused
 
@@ -250,6 +252,7 @@
 		t.conn.Close()
 	}
 	t.attempt.End(time.Now(), t.outcome(res))
+	t.endWatch(res)
 }
 
 // outcome returns the outcome of the send that the picker records.
--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -145,20 +145,23 @@
 // than allowed. The library that parses heads has no limit.
 type headLimiter struct {
 	raw  net.Conn
-	left int // bytes that may still be read for the head, unlimited outside of heads
+	left int   // bytes that may still be read for the head, unlimited outside of heads
+	err  error // of the last read
 }
 
 // Read reads up to the limit.
 func (l *headLimiter) Read(p []byte) (int, error) {
+	var n int
 	if l.left == unlimited {
-		return l.raw.Read(p)
+		n, l.err = l.raw.Read(p)
+		return n, l.err
 	}
 	if l.left == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.raw.Read(p[:min(len(p), l.left)])
+	n, l.err = l.raw.Read(p[:min(len(p), l.left)])
 	l.left -= n
-	return n, err
+	return n, l.err
 }
 
 // notSentError marks a failure before anything was sent.
@@ -290,6 +293,17 @@
 	_ = c.raw.Close()
 }
 
+// ClosedByUpstream reports whether the upstream has closed or reset the connection, as
+// far as the reads so far show.
+func (c *Conn) ClosedByUpstream() bool {
+	err := c.source.err
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	var n net.Error
+	return !errors.As(err, &n) || !n.Timeout()
+}
+
 // Interrupt makes pending and later reads and writes fail.
 func (c *Conn) Interrupt() {
 	_ = c.raw.SetDeadline(time.Unix(1, 0))
--- /dev/null
+++ b/simulation/edge_quarantine_test.go
@@ -0,0 +1,207 @@
+package simulation
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedwell/standin/runner"
+)
+
+const (
+	deadlyPart  = "dead"
+	restartTime = 2 * time.Second // from the crash of an upstream to its return under a new ID
+)
+
+// crashingFleet lets upstreams crash and return.
+type crashingFleet struct {
+	sim    *routeSimulation
+	faults runner.Faults
+
+	mu      sync.Mutex
+	crashes []time.Time
+	down    map[string]time.Time // when the upstreams that are down crashed, by ID
+}
+
+// startModels starts upstreams of the service model which crash on the deadly part, in
+// place of those of the simulation.
+func startModels(sim *routeSimulation, n int, f runner.Faults) *crashingFleet {
+	fleet := &crashingFleet{sim: sim, faults: f, down: map[string]time.Time{}}
+	for id := range sim.runners {
+		if strings.HasPrefix(id, "model") {
+			sim.store.Delete("servers", id)
+		}
+	}
+	for i := range n {
+		id := fmt.Sprintf("engine-%d", i)
+		sim.hosts[id] = fmt.Sprintf("10.6.0.%d", i+1)
+		fleet.start(id)
+	}
+	// The removed entries are used for a while, as after an outage of the store.
+	time.Sleep(4 * time.Second)
+	return fleet
+}
+
+// start starts an upstream whose host is known.
+func (c *crashingFleet) start(id string) {
+	r := runner.New(id)
+	r.SetFaults(c.faults)
+	r.OnCrash = func() { c.crash(id, c.sim.hosts[id]) }
+	c.sim.runners[id] = r
+	c.sim.serve(c.sim.hosts[id]+":80", r.Handler())
+	c.sim.putEntry(id, "model", "ready")
+}
+
+// crash resets the connections of an upstream and closes its listener.
+func (c *crashingFleet) crash(id, h string) {
+	c.mu.Lock()
+	_, down := c.down[id]
+	if !down {
+		c.crashes = append(c.crashes, time.Now())
+		c.down[id] = time.Now()
+	}
+	c.mu.Unlock()
+	if !down {
+		c.sim.network.resetHost(h)
+	}
+}
+
+// restart starts the upstreams again that have been down for long enough.
+func (c *crashingFleet) restart() {
+	c.mu.Lock()
+	var due []string
+	for id, at := range c.down {
+		if time.Since(at) >= restartTime {
+			due = append(due, id)
+			delete(c.down, id)
+		}
+	}
+	c.mu.Unlock()
+	slices.Sort(due)
+	for _, id := range due {
+		h := c.sim.hosts[id]
+		c.sim.store.Delete("servers", id)
+		id += "r"
+		c.sim.hosts[id] = h
+		c.start(id)
+	}
+}
+
+// receivedAfter returns the number of requests with the prefix in their IDs that
+// upstreams received after time t.
+func (c *crashingFleet) receivedAfter(prefix string, t time.Time) int {
+	n := 0
+	for _, r := range c.sim.runners {
+		for _, id := range r.ReceivedAfter(t) {
+			if strings.HasPrefix(id, prefix) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// traffic sends requests in the background and keeps their answers.
+type traffic struct {
+	sim *routeSimulation
+	wg  sync.WaitGroup
+
+	mu      sync.Mutex
+	answers []timedAnswer
+}
+
+type timedAnswer struct {
+	id     string
+	sentAt time.Time
+	response
+}
+
+// stream sends a request for a stream with a prompt of two shared parts.
+func (tr *traffic) stream(instance int, id, first, second string) {
+	prompt := fmt.Sprintf("%s:1000,%s:500,%x:100", first, second, time.Now().UnixNano())
+	tr.wg.Go(func() {
+		sentAt := time.Now()
+		resp := tr.sim.send(request{instance: instance, path: "/talk/1?events=5", id: id, header: map[string]string{
+			"X-Knapweedwell-Prompt-Prefix": prompt, "X-Knapweedwell-Token-Usage": "1600,20",
+		}})
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		tr.answers = append(tr.answers, timedAnswer{id: id, sentAt: sentAt, response: resp})
+	})
+}
+
+// TestDeadlyPartCrashesNoFurtherUpstreams guards against requests with one part in their
+// prompts that crash one upstream after the other for as long as they come.
+func TestDeadlyPartCrashesNoFurtherUpstreams(t *testing.T) {
+	const (
+		learnTime = 4 * time.Second // from the fifth crash
+		maxLate   = 3
+		ticks     = 1000
+		tick      = 25 * time.Millisecond
+		warmUp    = 80 // ticks without the deadly part
+		deadlyIn  = 16 // then one request in so many holds it
+	)
+	simulateRoutes(t, 3, func(sim *routeSimulation) {
+		fleet := startModels(sim, 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: deadlyPart})
+		tr := &traffic{sim: sim}
+		for n := range ticks {
+			if n >= warmUp && n%deadlyIn == 0 {
+				tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", deadlyPart)
+			} else {
+				tr.stream(n%3, "sound-"+itoa(n), "aa", "b"+itoa(n%7))
+			}
+			time.Sleep(tick)
+			fleet.restart()
+			sim.exchangeFacts()
+		}
+		tr.wg.Wait()
+		if len(fleet.crashes) == 0 {
+			t.Fatal("no upstream crashed")
+		}
+		known := fleet.crashes[min(len(fleet.crashes), 5)-1]
+		late := fleet.receivedAfter("deadly-", known.Add(learnTime))
+		t.Logf("%d crashes; %d requests with the part later", len(fleet.crashes), late)
+		if late > maxLate {
+			t.Errorf("%d requests with the part reached upstreams later than %s after the fifth crash, expected at most %d", late, learnTime, maxLate)
+		}
+		tr.check(t, known.Add(2*learnTime))
+	})
+}
+
+// exchangeFacts lets the instances know each other's facts about prompt parts.
+func (sim *routeSimulation) exchangeFacts() {
+	for _, from := range sim.instances {
+		facts := from.Quarantine.Facts(time.Now())
+		for _, to := range sim.instances {
+			if to != from {
+				to.Quarantine.Apply(time.Now(), facts)
+			}
+		}
+	}
+}
+
+// check fails the test unless all sound requests that were sent after time t are answered
+// and all others are refused as not run.
+func (tr *traffic) check(t *testing.T, after time.Time) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, a := range tr.answers {
+		if a.sentAt.Before(after) {
+			continue
+		}
+		kind, _, _ := strings.Cut(a.id, "-")
+		counts[kind]++
+		if kind == "sound" && (a.status != 200 || !a.complete) {
+			t.Errorf("request %s: status %d, complete %t, %s", a.id, a.status, a.complete, a.body)
+		}
+		if kind == "deadly" && a.status != 503 {
+			t.Errorf("request %s: status %d, expected 503", a.id, a.status)
+		}
+	}
+	if counts["sound"] == 0 || counts["deadly"] == 0 {
+		t.Errorf("the test sent no requests of a kind after the crashes: %v", counts)
+	}
+}
