--- a/simulation/edge_caller_test.go
+++ b/simulation/edge_caller_test.go
@@ -66,7 +66,8 @@
 	)
 	simulateRoutes(t, 1, func(sim *routeSimulation) {
 		head := "HTTP/1.1 200 OK\r\nX-Knapweedwell-Request-Id: %s\r\nX-Knapweedwell-Response-Signature: s\r\nContent-Length: " + itoa(startBytes+parts*partBytes) + "\r\n\r\n"
-		sim.startRawUpstream("large", "calls", &rawUpstream{head: head + strings.Repeat("x", startBytes), repeat: strings.Repeat("x", partBytes), pause: pause})
+		u := &rawUpstream{head: head + strings.Repeat("x", startBytes), repeat: strings.Repeat("x", partBytes), pause: pause}
+		sim.startRawUpstream("large", "calls", u.serve)
 		resp := sim.send(request{method: "GET", path: "/bulk/1", id: "a"})
 		if !resp.complete || len(resp.body) != startBytes+parts*partBytes {
 			t.Errorf("status %d, %d bytes, complete %t, expected %d bytes, complete", resp.status, len(resp.body), resp.complete, startBytes+parts*partBytes)
@@ -81,7 +82,7 @@
 	simulateRoutes(t, 1, func(sim *routeSimulation) {
 		head := "HTTP/1.1 200 OK\r\nX-Knapweedwell-Request-Id: %s\r\nX-Knapweedwell-Response-Signature: s\r\nContent-Length: " + itoa(answerBytes) + "\r\n\r\n"
 		u := &rawUpstream{head: head + strings.Repeat("x", answerBytes), pause: time.Minute}
-		sim.startRawUpstream("large", "calls", u)
+		sim.startRawUpstream("large", "calls", u.serve)
 		k := sim.keep("10.1.0.1:1")
 		defer k.near.Close()
 		if _, err := io.WriteString(k.near, "GET /bulk/1 HTTP/1.1\r\nHost: h.example\r\nX-Knapweedwell-Request-Id: a\r\nAuthorization: Token "+edgeKey+"\r\n\r\n"); err != nil {
