Count the windows of the retry budget from the first call

Seen by reading: the buckets followed the time of day. When it was set forward, all counts were dropped, so that more retries went out than the budget of the window allows; when it was set back, one bucket took all counts until the clock had caught up.

The bucket is now the time since the first call, a difference of two readings that carry the monotonic clock. A time with the two clocks apart cannot be made in a test; TestWindowCountsFromFirstCall shows that the buckets begin with the first call. Before, it refused a retry 9.2 s after the request in a window of 10 s.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -28,6 +28,7 @@
 	Instances func() int    // returns the number of instances that share the slack
 
 	mu    sync.Mutex
+	start time.Time // of the first bucket: the first call
 	pools map[string]*window
 }
 
@@ -36,7 +37,7 @@
 type window struct {
 	requests [buckets + 1]int
 	retries  [buckets + 1]int
-	current  int64 // number of the current bucket since the Unix epoch
+	current  int64 // number of the current bucket since the start of the Budget
 }
 
 // window returns the counts of a pool and advances them to now. The caller holds
@@ -44,9 +45,11 @@
 func (b *Budget) window(now time.Time, pool string) *window {
 	if b.pools == nil {
 		b.pools = map[string]*window{}
+		b.start = now
 	}
 	w := b.pools[pool]
-	n := now.UnixNano() / (int64(b.Window) / buckets)
+	// The difference of two times does not change when the time of day is set.
+	n := max(int64(now.Sub(b.start)/(b.Window/buckets)), 0)
 	if w == nil {
 		w = &window{current: n}
 		b.pools[pool] = w
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -72,3 +72,17 @@
 	}
 	assert.Equal(t, taken, 4)
 }
+
+// TestWindowCountsFromFirstCall guards against windows that follow the time of day, which
+// may be set: the buckets begin with the first call.
+func TestWindowCountsFromFirstCall(t *testing.T) {
+	b := &Budget{Ratio: 2, Window: 10 * time.Second, Instances: func() int { return 1 }}
+	first := time.Unix(5000, int64(900*time.Millisecond))
+	b.RecordRequest(first, "p")
+	assert.Assert(t, b.AllowRetry(first.Add(9200*time.Millisecond), "p"))
+	b.RecordRequest(first, "q")
+	assert.Assert(t, !b.AllowRetry(first.Add(10100*time.Millisecond), "q"))
+	// A request that arrived before the first call counts in the first bucket.
+	b.RecordRequest(first.Add(-3*time.Second), "r")
+	assert.Assert(t, b.AllowRetry(first, "r"))
+}
