Log a failed removal of an instance's entry as failed

Seen by reading: "entry of a gone instance removed" was logged also if the store had refused the call, without the error. It now is a warning of its own with the error.

Test: TestFailedRemovalIsLogged; before, the message said that it was removed.

--- a/heartbeat/list.go
+++ b/heartbeat/list.go
@@ -176,8 +176,12 @@
 // removeEntry removes the entry of a gone instance, unless the entry has
 // changed.
 func (s *Service) removeEntry(ctx context.Context, o platform.Object) {
-	err := s.Platform.Delete(ctx, instanceKind, o.Name, o.Revision)
-	s.Log.WithFields(logrus.Fields{"Instance": o.Name, "Revision": o.Revision, "Done": err == nil}).Info("entry of a gone instance removed")
+	log := s.Log.WithFields(logrus.Fields{"Instance": o.Name, "Revision": o.Revision})
+	if err := s.Platform.Delete(ctx, instanceKind, o.Name, o.Revision); err != nil {
+		log.WithField("Error", err.Error()).Warn("entry of a gone instance was not removed")
+		return
+	}
+	log.Info("entry of a gone instance removed")
 }
 
 // updateLeaving records the upstreams that the store lists as leaving, so
--- a/heartbeat/list_test.go
+++ b/heartbeat/list_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
 	"knapweedwell/member"
@@ -40,3 +41,16 @@
 	assert.Equal(t, start(3, "10.1.0.9:1"), int64(2))
 	assert.Equal(t, start(4, "10.1.0.9:1"), int64(1))
 }
+
+// TestFailedRemovalIsLogged guards against a removal in the store that failed and is
+// logged as done.
+func TestFailedRemovalIsLogged(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	client := platform.New("", func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed })
+	defer client.Close()
+	s := &Service{Platform: client, Log: log}
+	s.removeEntry(t.Context(), platform.Object{Name: "gone", Revision: 3})
+	assert.Equal(t, len(hook.AllEntries()), 1)
+	assert.Equal(t, hook.LastEntry().Message, "entry of a gone instance was not removed")
+	assert.Equal(t, hook.LastEntry().Level, logrus.WarnLevel)
+}
