Read each frame of a peer to its end

Seen by reading: the decoder left the bytes after a frame's object unread, so that they were taken for the length of the next frame and the connection broke. A second object in a frame was dropped.

A frame is now read whole and must hold exactly one object.

Test: TestFrameIsReadWhole; before, "frame has bytes".

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -34,7 +34,7 @@
 	return err
 }
 
-// ReadObject reads one frame into v.
+// ReadObject reads one frame into v. A frame with anything but one object is an error.
 func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -44,5 +44,12 @@
 	if n > maxFrameBytes {
 		return errors.Errorf("frame has %d bytes, expected at most %d", n, maxFrameBytes)
 	}
-	return json.NewDecoder(io.LimitReader(r, int64(n))).Decode(v)
+	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil {
+		return err
+	}
+	if len(body) < int(n) {
+		return io.ErrUnexpectedEOF
+	}
+	return json.Unmarshal(body, v)
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -74,6 +76,24 @@
 	assert.Equal(t, answer.Error.Message, "the first message must be Peer.Hello")
 }
 
+// TestFrameIsReadWhole guards against bytes of a frame that are taken for the head of the
+// next one.
+func TestFrameIsReadWhole(t *testing.T) {
+	frame := func(body string) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+	}
+	padded := frame("1" + strings.Repeat(" ", 2000))
+	r := bufio.NewReader(bytes.NewReader(append(padded, frame("2")...)))
+	for _, want := range []int{1, 2} {
+		var got int
+		assert.NilError(t, frameCodec{}.ReadObject(r, &got))
+		assert.Equal(t, got, want)
+	}
+	r = bufio.NewReader(bytes.NewReader(frame("1 2")))
+	var got int
+	assert.Assert(t, frameCodec{}.ReadObject(r, &got) != nil, "a second object in a frame was dropped")
+}
+
 // FuzzFrames checks that no bytes make the decoder panic.
 func FuzzFrames(f *testing.F) {
 	var b bytes.Buffer
