Call an instance once if it refuses a change

Seen by reading: knapweedwell apply repeated a call that an instance had refused, by a wrong key for instance, three times, and then said that it was not known whether the change was written.

A status from 400 to 499 now ends it at once with "the change was not written", unless an earlier call had no answer and may have written it.

Test: TestRefusedChange; without the change "refused at once" made four calls.

--- a/operator/client.go
+++ b/operator/client.go
@@ -63,8 +63,25 @@
 	return out, c.do(ctx, http.MethodGet, "/explanations/"+url.PathEscape(id), nil, &out)
 }
 
+// StatusError is an answer with a status other than 200.
+type StatusError struct {
+	Address string
+	Code    int
+	Text    string
+}
+
+// Error returns the status with the text of the answer.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("instance %s answered %d: %s", e.Address, e.Code, e.Text)
+}
+
+// Refused reports whether the instance has refused the call, so that it did nothing.
+func (e *StatusError) Refused() bool {
+	return e.Code >= http.StatusBadRequest && e.Code < http.StatusInternalServerError
+}
+
 // do makes one call and decodes the JSON of its answer into out. A status other
-// than 200 is an error.
+// than 200 is a StatusError.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
@@ -83,7 +100,7 @@
 		return errors.Wrap(err, "read answer")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("instance %s answered %d: %s", c.Address, resp.StatusCode, strings.TrimSpace(string(answer)))
+		return &StatusError{Address: c.Address, Code: resp.StatusCode, Text: strings.TrimSpace(string(answer))}
 	}
 	return errors.Wrap(json.Unmarshal(answer, out), "decode answer")
 }
--- a/terminal/change.go
+++ b/terminal/change.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 
 	"knapweedwell/config"
 	"knapweedwell/inifile"
@@ -73,6 +74,9 @@
 	}
 	change := revision.Change{ChangeID: uuid.NewString(), Base: f.base, Author: f.author, Text: text, DryRun: f.dryRun}
 	applied, err := applyWithRetry(ctx, c, change)
+	if isRefused(err) {
+		return fail(ExitFailed, "the change was not written: %v", err)
+	}
 	if err != nil {
 		return fail(ExitUnclear, "it is not known whether the change was written; change ID %s: %v", change.ChangeID, err)
 	}
@@ -82,15 +86,25 @@
 	return t.handleResult(ctx, c, f, applied.Result)
 }
 
-// applyWithRetry sends a change, and retries failed calls, with applyAttempts calls
-// at most. The change ID prevents the change from being applied twice.
+// isRefused reports whether an instance refused a call, so that a repeated one is refused
+// too.
+func isRefused(err error) bool {
+	var status *operator.StatusError
+	return errors.As(err, &status) && status.Refused()
+}
+
+// applyWithRetry sends a change, and retries failed calls that were not refused, with
+// applyAttempts calls at most. The change ID prevents the change from being applied twice.
 func applyWithRetry(ctx context.Context, c *operator.Client, change revision.Change) (operator.Applied, error) {
 	var applied operator.Applied
 	var err error
-	for range applyAttempts {
+	for n := range applyAttempts {
 		applied, err = c.Apply(ctx, change)
-		if err == nil {
-			return applied, nil
+		switch {
+		case err == nil || (isRefused(err) && n == 0):
+			return applied, err
+		case isRefused(err):
+			return applied, errors.Errorf("after a call without an answer: %s", err.Error())
 		}
 		select {
 		case <-ctx.Done():
