--- a/exchange/facts.go
+++ b/exchange/facts.go
@@ -29,8 +29,11 @@
 	// compareRounds is the number of rounds between two comparisons of all facts, which
 	// repair what lost datagrams have left out.
 	compareRounds = 5
+	// busyRounds is that number for busyTime after a fact was learned.
+	busyRounds = 2
+	busyTime   = 3 * time.Second
 	// minReplyInterval is the least time between two replies to comparisons of a peer.
-	minReplyInterval = 500 * time.Millisecond
+	minReplyInterval = 300 * time.Millisecond
 	// directFactBytes and relayedFactBytes are the bytes of facts that an instance of a
 	// small and a large fleet may send a second in the long run.
 	directFactBytes  = 1000
@@ -78,6 +81,7 @@
 	mu         sync.Mutex
 	known      map[factKey]*sharedFact
 	learned    uint64 // number of facts so far
+	learnedAt  time.Time
 	generation uint64 // of the facts of this instance when they were last recorded
 	repliedAt  map[string]time.Time
 	budget     *rate.Limiter
@@ -140,6 +144,7 @@
 		sends = 0
 	}
 	sh.learned++
+	sh.learnedAt = now
 	sh.known[key] = &sharedFact{fact: f, at: at, until: until, number: sh.learned, sends: sends, seen: now}
 	return true
 }
@@ -255,7 +260,7 @@
 		return
 	}
 	s.shareFacts(now, plan)
-	if round%compareRounds != 0 {
+	if round%s.sharing.compareInterval(now) != 0 {
 		return
 	}
 	facts := s.Facts.Facts(now)
@@ -268,6 +273,16 @@
 	}
 }
 
+// compareInterval returns the number of rounds between two comparisons.
+func (sh *sharing) compareInterval(now time.Time) int {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if now.Sub(sh.learnedAt) < busyTime {
+		return busyRounds
+	}
+	return compareRounds
+}
+
 // shareFacts sends new facts: to all others in a small fleet, and to some others, which
 // pass them on, in a large one.
 func (s *Service) shareFacts(now time.Time, plan aggregate.Plan) {
--- a/exchange/factsfetch.go
+++ b/exchange/factsfetch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"knapweedwell/follow"
 	"knapweedwell/member"
@@ -85,7 +86,12 @@
 	ctx, cancel := context.WithTimeout(ctx, factsTimeout)
 	defer cancel()
 	var data []byte
-	if err := follow.CallPeer(ctx, s.Peers, m.Peer, factsMethod, nil, &data); err != nil {
+	err := follow.CallPeer(ctx, s.Peers, m.Peer, factsMethod, nil, &data)
+	var rpc *jsonrpc2.Error
+	if errors.As(err, &rpc) && rpc.Code == jsonrpc2.CodeMethodNotFound {
+		return nil // an earlier build, which has no facts
+	}
+	if err != nil {
 		return err
 	}
 	now := time.Now()
@@ -110,6 +116,19 @@
 	return false
 }
 
+// Isolated reports whether no other instance is heard though some are known to run.
+func (s *Service) Isolated() bool {
+	if time.Since(s.started) < peerSilenceTimeout || s.HearsPeers() {
+		return false
+	}
+	for _, m := range s.Members() {
+		if m.Name != s.Self && m.State != member.Gone {
+			return true
+		}
+	}
+	return false
+}
+
 // checkFacts fetches the facts again if this process was suspended before a round, or
 // hears its peers again.
 func (s *Service) checkFacts(now time.Time) {
