Keep verdicts on prompt parts in the store

After a restart of all instances, or at one that was cut off from the others, requests with a part that was known to crash upstreams were sent again: a verdict lived in the instances' memory only.

The instances that follow the store write each verdict to a kind of its own, repeat a write that failed or was not answered for as long as the verdict is in force, and delete the object when an answer has ended it. A starting instance asks a live peer, else the store, before it is live and before it sends a request; one that hears no peer reads the kind once a second. When a verdict has ended by time, a conditional update decides which one instance of the fleet sends the next request with the part. Deleting the object by hand ends the verdict. Without facts there is one cheap list at the start.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"knapweedwell/route"
 	"knapweedwell/routing"
 	"knapweedwell/setting"
+	"knapweedwell/verdictstore"
 )
 
 const (
@@ -54,6 +55,7 @@
 	Roster     *roster.Service
 	Exchange   *exchange.Service
 	Quarantine *quarantine.Quarantine
+	Verdicts   *verdictstore.Service
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
@@ -83,6 +85,7 @@
 	i.kernel.Add("peer", i.Peers)
 	i.kernel.Add("heartbeat", i.Heartbeats)
 	i.kernel.Add("picture", i.Exchange) // the name stays, because operators see it in error messages
+	i.kernel.Add("verdictstore", i.Verdicts)
 	i.kernel.Add("routing", i.Routing)
 	i.kernel.Add("roster", i.Roster)
 	i.kernel.Add("operator", i.Operator)
@@ -157,9 +160,22 @@
 			i.Routing.FetchNewer(address, version)
 			i.Roster.FetchNewer(address, rosterMark)
 		},
-		Log: i.Log,
+		Facts: i.Quarantine,
+		Log:   i.Log,
 	}
 	i.Exchange.Prepare()
+	i.Verdicts = &verdictstore.Service{
+		Self: i.identity(), Platform: i.store, Verdicts: i.Quarantine, Role: i.role, FetchFacts: i.Exchange.FetchFacts,
+		Isolated: i.Exchange.Isolated, Tell: i.Exchange.Tell, OnReady: i.goLive, Log: i.Log,
+	}
+	i.Quarantine.OnChange = i.Exchange.ShareFacts
+	i.Quarantine.Trial = i.Verdicts.Trial
+}
+
+// identity returns the identity of this incarnation of the instance.
+func (i *Instance) identity() string {
+	self := i.Heartbeats.Self
+	return self.Identity()
 }
 
 // role returns how closely this instance follows the store.
@@ -187,7 +203,7 @@
 	r := i.Settings.Routes
 	i.Forward = &forward.Server{
 		Address:          i.Settings.Caller,
-		Table:            i.Routing.Current,
+		Table:            i.servedTable,
 		Roster:           i.Roster.Current,
 		StoreUnreachable: i.Roster.StoreUnreachable,
 		Picker:           i.picker,
@@ -218,6 +234,15 @@
 	})
 }
 
+// servedTable returns the routes in force, nil until this instance has the verdicts on
+// prompt parts.
+func (i *Instance) servedTable() *route.Table {
+	if !i.Verdicts.Ready() {
+		return nil
+	}
+	return i.Routing.Current()
+}
+
 // instances returns the number of known instances that may send requests.
 func (i *Instance) instances() int {
 	n := 0
@@ -237,10 +262,10 @@
 	i.Exchange.Push()
 }
 
-// goLive changes the state of a starting instance to live once it has routes and
-// a roster.
+// goLive changes the state of a starting instance to live once it has routes, a roster
+// and the verdicts on prompt parts.
 func (i *Instance) goLive() {
-	if i.Routing.Current() == nil || i.Roster.Current() == nil {
+	if i.Routing.Current() == nil || i.Roster.Current() == nil || !i.Verdicts.Ready() {
 		return
 	}
 	changed := false
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -9,6 +9,7 @@
 	"knapweedwell/kernel"
 	"knapweedwell/member"
 	"knapweedwell/operator"
+	"knapweedwell/quarantine"
 	"knapweedwell/webserver"
 )
 
@@ -51,6 +52,15 @@
 	Members      []member.Member
 	Upstreams    int
 	Leaving      []string
+	Quarantine   []Verdict
+}
+
+// Verdict is a verdict on a prompt part that is in force.
+type Verdict struct {
+	Part    string // in hex
+	Since   time.Time
+	Until   time.Time
+	Crashes int
 }
 
 // status serves GET /status.
@@ -65,5 +75,8 @@
 	if r := i.Roster.Current(); r != nil {
 		s.Upstreams = len(r.Entries)
 	}
+	for _, v := range i.Quarantine.Verdicts(time.Now()) {
+		s.Quarantine = append(s.Quarantine, Verdict{Part: quarantine.PartName(v.Part), Since: v.At, Until: v.Until, Crashes: v.Crashes})
+	}
 	webserver.WriteJSON(w, s)
 }
--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -155,7 +155,6 @@
 			}
 			time.Sleep(tick)
 			fleet.restart()
-			sim.exchangeFacts()
 		}
 		tr.wg.Wait()
 		if len(fleet.crashes) == 0 {
@@ -171,18 +170,6 @@
 	})
 }
 
-// exchangeFacts lets the instances know each other's facts about prompt parts.
-func (sim *routeSimulation) exchangeFacts() {
-	for _, from := range sim.instances {
-		facts := from.Quarantine.Facts(time.Now())
-		for _, to := range sim.instances {
-			if to != from {
-				to.Quarantine.Apply(time.Now(), facts)
-			}
-		}
-	}
-}
-
 // check fails the test unless all sound requests that were sent after time t are answered
 // and all others are refused as not run.
 func (tr *traffic) check(t *testing.T, after time.Time) {
--- /dev/null
+++ b/verdictstore/store.go
@@ -0,0 +1,212 @@
+package verdictstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"knapweedwell/platform"
+	"knapweedwell/quarantine"
+)
+
+// fields returns the fields of a log line about a verdict.
+func fields(now time.Time, v quarantine.Convicted) logrus.Fields {
+	return logrus.Fields{
+		"Part": quarantine.PartName(v.Part), "Crashes": v.Crashes, "AgeMillis": now.Sub(v.At).Milliseconds(), "RemainingSeconds": int(v.Until.Sub(now).Seconds()),
+	}
+}
+
+// write stores a verdict, unless the store has it with the same or a later end.
+func (s *Service) write(ctx context.Context, v quarantine.Convicted) {
+	now := time.Now()
+	s.mu.Lock()
+	revision := s.recordOf(v.Part).revision
+	s.mu.Unlock()
+	stored, written, err := s.put(ctx, now, v, revision)
+	if err != nil {
+		s.recordFailure(v, err)
+		return
+	}
+	s.mu.Lock()
+	r := s.recordOf(v.Part)
+	r.verdict, r.revision, r.backoff = stored.Verdict, stored.Revision, 0
+	s.mu.Unlock()
+	if written {
+		s.Log.WithFields(fields(now, v)).Info("verdict on a prompt part stored")
+		return
+	}
+	s.Verdicts.Apply(now, []quarantine.Fact{stored.Verdict})
+}
+
+// put writes the object of a verdict that has the revision, zero if that is not known. It
+// returns the verdict that is then stored, and whether it was written now.
+func (s *Service) put(ctx context.Context, now time.Time, v quarantine.Convicted, revision int64) (platform.StoredVerdict, bool, error) {
+	own := platform.StoredVerdict{Verdict: v}
+	value, err := platform.EncodeVerdict(now, own)
+	if err != nil {
+		return own, false, err
+	}
+	name := quarantine.PartName(v.Part)
+	if revision == 0 {
+		o, created, err := s.Platform.CreateOrGet(ctx, platform.VerdictKind, name, value)
+		if err != nil || created {
+			own.Revision = o.Revision
+			return own, created, err
+		}
+		stored, err := platform.DecodeVerdict(now, o)
+		if err == nil && v.Until.Sub(stored.Verdict.Until) <= endTolerance {
+			return stored, false, nil
+		}
+		revision = o.Revision
+	}
+	own.Revision, err = s.Platform.Update(ctx, platform.VerdictKind, name, value, revision)
+	return own, err == nil, err
+}
+
+// recordFailure records a failed write. The next one follows after a growing wait and
+// looks at the object first.
+func (s *Service) recordFailure(v quarantine.Convicted, err error) {
+	now := time.Now()
+	s.mu.Lock()
+	r := s.recordOf(v.Part)
+	first := r.backoff == 0
+	r.backoff = min(max(2*r.backoff, initialBackoff), maxBackoff)
+	r.nextTry = now.Add(r.backoff)
+	r.revision = 0
+	s.mu.Unlock()
+	if first {
+		s.Log.WithFields(fields(now, v)).WithField("Error", err.Error()).Warn("verdict on a prompt part could not be stored yet")
+	}
+}
+
+// remove deletes the object of a verdict that has ended.
+func (s *Service) remove(ctx context.Context, part uint64) {
+	s.mu.Lock()
+	revision := s.recordOf(part).revision
+	s.mu.Unlock()
+	err := s.deleteObject(ctx, quarantine.PartName(part), revision)
+	gone := err == nil || errors.Is(err, platform.ErrNotFound)
+	s.mu.Lock()
+	r := s.recordOf(part)
+	if gone {
+		delete(s.stored, part)
+	} else {
+		// The next read of the kind tells the revision.
+		r.nextTry = time.Now().Add(readPeriod)
+	}
+	s.mu.Unlock()
+	entry := s.Log.WithField("Part", quarantine.PartName(part))
+	if gone {
+		entry.Info("verdict on a prompt part deleted from the store")
+		return
+	}
+	entry.WithField("Error", err.Error()).Warn("verdict on a prompt part could not be deleted from the store yet")
+}
+
+// deleteObject deletes the object with the revision. Revision zero means that the answer
+// to its write was lost.
+func (s *Service) deleteObject(ctx context.Context, name string, revision int64) error {
+	if revision == 0 {
+		o, err := s.Platform.Get(ctx, platform.VerdictKind, name)
+		if err != nil {
+			return err
+		}
+		revision = o.Revision
+	}
+	return s.Platform.Delete(ctx, platform.VerdictKind, name, revision)
+}
+
+// readWithin reads the stored verdicts and applies them, for at most the timeout.
+func (s *Service) readWithin(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	l, err := s.Platform.ListCheaply(ctx, platform.VerdictKind)
+	if err != nil {
+		return err
+	}
+	s.applyList(ctx, l)
+	return nil
+}
+
+// readAgain reads the stored verdicts again. A failure is logged by those that follow the
+// store; the next read is due after the usual time.
+func (s *Service) readAgain(ctx context.Context) {
+	s.mu.Lock()
+	s.lastRead = time.Now()
+	s.mu.Unlock()
+	if err := s.readWithin(ctx, readPeriod); err != nil {
+		s.Log.WithField("Error", err.Error()).Debug("verdicts on prompt parts were not read from the store")
+	}
+}
+
+// applyList applies the verdicts of a list, and ends those of this instance whose objects
+// an operator has deleted.
+func (s *Service) applyList(ctx context.Context, l platform.Listing) {
+	now := time.Now()
+	known := s.current(now)
+	listed := map[uint64]bool{}
+	var facts []quarantine.Fact
+	for _, o := range l.Objects {
+		v, err := platform.DecodeVerdict(now, o)
+		if err != nil {
+			s.Log.WithFields(logrus.Fields{"Entry": o.Name, "Error": err.Error()}).Warn("stored verdict on a prompt part cannot be read")
+			continue
+		}
+		listed[v.Verdict.Part] = true
+		if _, ok := known[v.Verdict.Part]; !ok {
+			s.Log.WithFields(fields(now, v.Verdict)).WithField("Source", "store").Warn("verdict on a prompt part learned")
+		}
+		facts = append(facts, v.Verdict)
+		s.recordListed(v)
+	}
+	if len(facts) > 0 {
+		s.Verdicts.Apply(now, facts)
+	}
+	for _, part := range s.missing(now, known, listed, l.Revision) {
+		s.checkDeleted(ctx, part)
+	}
+}
+
+// recordListed records that a verdict is stored, unless a later revision is known.
+func (s *Service) recordListed(v platform.StoredVerdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.recordOf(v.Verdict.Part)
+	if v.Revision > r.revision {
+		r.verdict, r.revision, r.seen, r.backoff = v.Verdict, v.Revision, true, 0
+	}
+}
+
+// missing returns the parts with a verdict in force that is stored but not in a list of
+// the revision.
+func (s *Service) missing(now time.Time, known map[uint64]quarantine.Convicted, listed map[uint64]bool, revision int64) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var parts []uint64
+	for part, r := range s.stored {
+		v, ok := known[part]
+		if ok && !listed[part] && now.Before(v.Until) && r.revision > 0 && r.revision <= revision {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// checkDeleted ends a verdict whose object no longer exists, because an operator has
+// deleted it or another instance knows that the verdict has ended.
+func (s *Service) checkDeleted(ctx context.Context, part uint64) {
+	_, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.PartName(part))
+	if !errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	delete(s.stored, part)
+	s.mu.Unlock()
+	released := []quarantine.Fact{quarantine.Released{Part: part, At: now}}
+	s.Verdicts.Apply(now, released)
+	s.Tell(released)
+	s.Log.WithField("Part", quarantine.PartName(part)).Warn("verdict on a prompt part ended: its object was deleted from the store")
+}
