Do not convict an answered part of crashes that a suspect may explain

Sound requests under that part had been hit by the deadly requests of other instances, so it had more crashes than the deadly part.

Change: a part that an upstream has ever been seen to answer is convicted only by crashes in which no suspect was that was never answered.

Result: the script answered-once, which failed before (line 14, the answered part was convicted).

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -139,10 +140,15 @@
 func (q *Quarantine) decide(now time.Time) {
 	for {
 		explained := q.explained(now)
+		doubtful := q.doubtful(now, explained)
 		var strongest *suspect
 		most := 0
 		for _, s := range q.suspects {
-			n, enough := s.evidence(now, explained)
+			discounted := explained
+			if !s.answeredAt.IsZero() {
+				discounted = doubtful
+			}
+			n, enough := s.evidence(now, discounted)
 			if !enough || n < most || (n == most && strongest != nil && s.number < strongest.number) {
 				continue
 			}
@@ -186,6 +192,23 @@
 	q.log(now, s, ownSource).Warn("prompt part is quarantined")
 }
 
+// doubtful returns the explained crashes and those in which a suspect was that no
+// upstream has ever answered. These do not convict a part that has been answered. The
+// caller holds q.mu.
+func (q *Quarantine) doubtful(now time.Time, explained map[uint64]bool) map[uint64]bool {
+	crashes := maps.Clone(explained)
+	for _, s := range q.suspects {
+		if !s.answeredAt.IsZero() || s.convicted(now) || !s.limited(now, explained) {
+			continue
+		}
+		if crashes == nil {
+			crashes = map[uint64]bool{}
+		}
+		s.addTo(crashes)
+	}
+	return crashes
+}
+
 // explained returns the crashes that the parts with a verdict explain. The caller
 // holds q.mu.
 func (q *Quarantine) explained(now time.Time) map[uint64]bool {
