Ask the store once for the trial of a part that another instance tries

The answer now holds until the trial's end, and a second if the store has not decided.

New tests: an instance that was cut off from all, the end of all other instances at the moment of a verdict with a late write, and the trial in the simulation. With the write of verdicts taken out, TestVerdictOutlastsItsWriters fails; TestVerdictAfterCut passes without comparisons, because the instance fetches the facts when it hears the others.

--- a/simulation/edge_verdict_test.go
+++ b/simulation/edge_verdict_test.go
@@ -7,6 +7,7 @@
 	"knapweedwell/edge"
 	"knapweedwell/quarantine"
 	"knapweedwell/standin/platform"
+	"knapweedwell/standin/runner"
 )
 
 const (
@@ -149,3 +150,77 @@
 		}
 	})
 }
+
+// TestVerdictAfterCut reconnects an instance that reached neither the others nor the store
+// when there was a verdict. It guards against requests that it sends after the cut because
+// nobody told it.
+func TestVerdictAfterCut(t *testing.T) {
+	simulateRoutes(t, 3, func(sim *routeSimulation) {
+		others := []string{"10.1.0.1", "10.1.0.2", host(platformAddress)}
+		setCut := func(cut bool) {
+			for _, h := range others {
+				sim.network.setCut("10.1.0.3", h, cut)
+				sim.network.setCut(h, "10.1.0.3", cut)
+			}
+		}
+		setCut(true)
+		sim.convict(0, time.Minute)
+		time.Sleep(5 * time.Second)
+		if sim.knows(2) {
+			t.Error("the instance knows the verdict in the cut")
+		}
+		setCut(false)
+		sim.eventually(2*time.Second, "the instance knows the verdict after the cut", func() bool { return sim.knows(2) })
+	})
+}
+
+// TestVerdictOutlastsItsWriters ends all instances but one at the moment of a verdict, and
+// later that one.
+func TestVerdictOutlastsItsWriters(t *testing.T) {
+	simulateRoutes(t, 4, func(sim *routeSimulation) {
+		sim.store.SetFaults(platform.Faults{LateWrites: 1})
+		sim.convict(3, time.Minute)
+		time.Sleep(100 * time.Millisecond)
+		for i := range 3 {
+			_ = sim.instances[i].Close()
+		}
+		time.Sleep(8 * time.Second)
+		_ = sim.instances[3].Close()
+		sim.instances = nil
+		sim.startInstance(0)
+		sim.expectWithheld(0, "r", 2*time.Second)
+	})
+}
+
+// TestTrialByOneInstance ends a verdict by time, and sends requests with the part to all
+// instances. One of them reaches an upstream at a time, and its answer ends the verdict.
+func TestTrialByOneInstance(t *testing.T) {
+	simulateRoutes(t, 3, func(sim *routeSimulation) {
+		sim.convict(0, 3*time.Second)
+		time.Sleep(4 * time.Second)
+		sim.setFaults("model", runner.Faults{Delay: 2 * time.Second, Pause: 200 * time.Millisecond})
+		tr := &traffic{sim: sim}
+		for n := range 30 {
+			tr.stream(n%3, "deadly-"+itoa(n), "aa", verdictPart)
+			time.Sleep(50 * time.Millisecond)
+		}
+		ran := 0
+		for n := range 30 {
+			ran += min(sim.runCount("deadly-"+itoa(n)), 1)
+		}
+		if ran != 1 {
+			t.Errorf("%d requests with the part ran, expected 1", ran)
+		}
+		tr.wg.Wait()
+		sim.eventually(3*time.Second, "requests with the part are served again", func() bool {
+			for i := range sim.instances {
+				if len(sim.instances[i].Quarantine.Facts(time.Now())) > 1 {
+					return false
+				}
+			}
+			return sim.send(request{instance: 1, path: "/talk/1?events=2", id: "again", header: map[string]string{
+				"X-Knapweedwell-Prompt-Prefix": "aa:1000,dead:500,1:100", "X-Knapweedwell-Token-Usage": "1600,20",
+			}}).status == 200
+		})
+	})
+}
--- a/verdictstore/service.go
+++ b/verdictstore/service.go
@@ -59,7 +59,7 @@
 	mu       sync.Mutex
 	ready    bool
 	stored   map[uint64]*record // verdicts that are stored or are to be, by the part
-	trials   map[uint64]time.Time
+	trials   map[uint64]trial   // answers of the store that still hold, by the part
 	lastRead time.Time
 	group    background.Group
 }
--- a/verdictstore/trial.go
+++ b/verdictstore/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
@@ -17,76 +18,100 @@
 	trialTimeout = time.Second
 )
 
+// askAgainTime is the time after which an instance asks again for a trial that the store
+// has not decided.
+const askAgainTime = time.Second
+
+// trial is what the store has answered about a part, and until when that holds.
+type trial struct {
+	granted bool
+	end     time.Time
+}
+
 // Trial reports whether this instance may send the next request with a part whose verdict
 // has ended. The store decides between the instances, and grants the trial for trialTime.
 func (s *Service) Trial(part uint64) bool {
 	ctx, cancel := context.WithTimeout(s.group.Context(), trialTimeout)
 	defer cancel()
 	now := time.Now()
+	if t, known := s.knownTrial(now, part); known {
+		return t.granted
+	}
+	t, err := s.takeTrial(ctx, now, part)
 	s.mu.Lock()
-	end := s.trials[part]
+	s.trials[part] = t
 	s.mu.Unlock()
-	if now.Before(end) {
-		return true
-	}
-	end, err := s.takeTrial(ctx, now, part)
+	entry := s.Log.WithFields(logrus.Fields{"Part": quarantine.PartName(part), "Granted": t.granted, "Millis": t.end.Sub(now).Milliseconds()})
 	if err != nil {
-		s.Log.WithField("Part", quarantine.PartName(part)).WithField("Error", err.Error()).Info("trial of a prompt part not granted")
-		return false
+		entry = entry.WithField("Error", err.Error())
 	}
+	entry.Info("trial of a prompt part")
+	return t.granted
+}
+
+// knownTrial returns the last answer of the store about a part if it still holds, and
+// forgets those that don't.
+func (s *Service) knownTrial(now time.Time, part uint64) (t trial, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.trials == nil {
-		s.trials = map[uint64]time.Time{}
+		s.trials = map[uint64]trial{}
 	}
 	for p, t := range s.trials {
-		if now.After(t) {
+		if !now.Before(t.end) {
 			delete(s.trials, p)
 		}
 	}
-	s.trials[part] = end
-	s.Log.WithField("Part", quarantine.PartName(part)).Info("trial of a prompt part granted")
-	return true
+	t, known = s.trials[part]
+	return t, known
 }
 
-// takeTrial records in the store that this instance tries a part, and returns the end of
-// the trial.
-func (s *Service) takeTrial(ctx context.Context, now time.Time, part uint64) (time.Time, error) {
-	verdict, ok := s.current(now)[part]
-	if !ok {
-		verdict = quarantine.Convicted{Part: part, At: now, Until: now}
-	}
-	stored := platform.StoredVerdict{Verdict: verdict}
-	o, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.PartName(part))
-	if err == nil {
-		if stored, err = platform.DecodeVerdict(now, *o); err != nil {
-			return time.Time{}, err
-		}
-	} else if !errors.Is(err, platform.ErrNotFound) {
-		return time.Time{}, err
+// takeTrial records in the store that this instance tries a part, unless another one does.
+func (s *Service) takeTrial(ctx context.Context, now time.Time, part uint64) (trial, error) {
+	undecided := trial{end: now.Add(askAgainTime)}
+	stored, err := s.storedVerdict(ctx, now, part)
+	if err != nil {
+		return undecided, err
 	}
 	left := stored.TrialEnd.Sub(now)
 	switch {
 	case now.Before(stored.Verdict.Until):
 		s.Verdicts.Apply(now, []quarantine.Fact{stored.Verdict})
-		return time.Time{}, errors.New("the verdict was renewed")
+		return undecided, errors.New("the verdict was renewed")
 	case stored.Trial == s.Self && left > 0:
-		return stored.TrialEnd, nil
+		return trial{granted: true, end: stored.TrialEnd}, nil
 	case stored.Trial != "" && left > 0 && left <= trialTime:
-		return time.Time{}, errors.Errorf("%s tries the part", stored.Trial)
+		return trial{end: stored.TrialEnd}, errors.Errorf("%s tries the part", stored.Trial)
 	}
 	revision := stored.Revision
 	stored.Trial, stored.TrialEnd = s.Self, now.Add(trialTime)
 	value, err := platform.EncodeVerdict(now, stored)
 	if err != nil {
-		return time.Time{}, err
+		return undecided, err
 	}
 	revision, err = s.Platform.Update(ctx, platform.VerdictKind, quarantine.PartName(part), value, revision)
 	if err != nil {
-		return time.Time{}, err
+		return undecided, err
 	}
 	s.mu.Lock()
 	s.recordOf(part).revision = revision
 	s.mu.Unlock()
-	return stored.TrialEnd, nil
+	return trial{granted: true, end: stored.TrialEnd}, nil
+}
+
+// storedVerdict returns the stored verdict on a part, or the own one with revision zero if
+// none is stored.
+func (s *Service) storedVerdict(ctx context.Context, now time.Time, part uint64) (platform.StoredVerdict, error) {
+	o, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.PartName(part))
+	if errors.Is(err, platform.ErrNotFound) {
+		verdict, ok := s.current(now)[part]
+		if !ok {
+			verdict = quarantine.Convicted{Part: part, At: now, Until: now}
+		}
+		return platform.StoredVerdict{Verdict: verdict}, nil
+	}
+	if err != nil {
+		return platform.StoredVerdict{}, err
+	}
+	return platform.DecodeVerdict(now, *o)
 }
--- a/verdictstore/verdictstore_test.go
+++ b/verdictstore/verdictstore_test.go
@@ -191,7 +191,12 @@
 	assert.NilError(t, err)
 	_, err = fl.clients[0].Update(context.Background(), platform.VerdictKind, quarantine.PartName(testPart), value, v.Revision)
 	assert.NilError(t, err)
+	calls := fl.clients[2].Calls()
+	assert.Assert(t, !fl.services[2].Trial(testPart), "an instance asks again before the time is over")
+	assert.Equal(t, fl.clients[2].Calls(), calls)
+	fl.services[2].trials = nil
 	assert.Assert(t, fl.services[2].Trial(testPart))
+	fl.services[0].trials = nil
 	fl.store.SetFaults(standin.Faults{Outage: true})
 	assert.Assert(t, !fl.services[0].Trial(testPart), "a trial in an outage of the store")
 }
