Read stored verdicts again where the first list may have been old

The list at the start is one that the store may answer from seconds ago. A start while neither peers nor the store answer waits up to 0.6 s between its calls, and a failed write postpones the other verdicts' writes of the same turn, because the next ones would wait for the store one after the other.

--- a/verdictstore/service.go
+++ b/verdictstore/service.go
@@ -27,8 +27,9 @@
 	// there are verdicts, and readPeriodWithoutPeers that of one that hears no peer.
 	readPeriod             = 5 * time.Second
 	readPeriodWithoutPeers = time.Second
-	initialBackoff         = 200 * time.Millisecond // after the first failed write of a verdict
+	initialBackoff         = 200 * time.Millisecond // after the first failed call
 	maxBackoff             = 2 * time.Second
+	maxStartBackoff        = 600 * time.Millisecond // short, because this instance is not live before
 	// endTolerance is the difference up to which the ends of two verdicts are the same.
 	endTolerance = time.Second
 )
@@ -103,9 +104,16 @@
 	s.mu.Unlock()
 	s.OnReady()
 	start := time.Now()
+	current := fromPeer
 	for wait(ctx, checkPeriod) {
-		if !fromPeer && time.Since(start) < joinTime {
+		switch {
+		case fromPeer:
+		case time.Since(start) < joinTime:
 			fromPeer = s.FetchFacts(ctx) == nil
+		case !current && s.Role() == follow.Alert:
+			// The first list may have been old.
+			s.readAgain(ctx)
+			current = true
 		}
 		s.step(ctx)
 	}
@@ -124,7 +132,8 @@
 // start gets the verdicts from a peer or, if none is live, from the store. It reports
 // whether they came from a peer.
 func (s *Service) start(ctx context.Context) bool {
-	for logged := false; ctx.Err() == nil; wait(ctx, checkPeriod) {
+	pause := initialBackoff
+	for logged := false; ctx.Err() == nil; wait(ctx, pause) {
 		if s.FetchFacts(ctx) == nil {
 			return true
 		}
@@ -132,6 +141,7 @@
 		if err == nil {
 			return s.FetchFacts(ctx) == nil
 		}
+		pause = min(2*pause, maxStartBackoff)
 		if !logged {
 			s.Log.WithField("Error", err.Error()).Warn("verdicts on prompt parts were fetched from neither a peer nor the store yet")
 		}
@@ -147,8 +157,8 @@
 	isolated := s.Isolated()
 	if s.Role() == follow.Alert {
 		for _, v := range verdicts {
-			if s.writeDue(now, v) {
-				s.write(ctx, v)
+			if s.writeDue(now, v) && !s.write(ctx, v) {
+				break
 			}
 		}
 		for _, part := range s.ended(now, verdicts) {
--- a/verdictstore/store.go
+++ b/verdictstore/store.go
@@ -18,8 +18,9 @@
 	}
 }
 
-// write stores a verdict, unless the store has it with the same or a later end.
-func (s *Service) write(ctx context.Context, v quarantine.Convicted) {
+// write stores a verdict, unless the store has it with the same or a later end. It reports
+// whether the store answered.
+func (s *Service) write(ctx context.Context, v quarantine.Convicted) bool {
 	now := time.Now()
 	s.mu.Lock()
 	revision := s.recordOf(v.Part).revision
@@ -27,7 +28,7 @@
 	stored, written, err := s.put(ctx, now, v, revision)
 	if err != nil {
 		s.recordFailure(v, err)
-		return
+		return false
 	}
 	s.mu.Lock()
 	r := s.recordOf(v.Part)
@@ -35,9 +36,10 @@
 	s.mu.Unlock()
 	if written {
 		s.Log.WithFields(fields(now, v)).Info("verdict on a prompt part stored")
-		return
+		return true
 	}
 	s.Verdicts.Apply(now, []quarantine.Fact{stored.Verdict})
+	return true
 }
 
 // put writes the object of a verdict that has the revision, zero if that is not known. It
