Do not count crashes that several upstreams have at one instant

Cause: crashes within 200 ms count as one occasion for each part, so that one wave convicts nobody, but three waves did.

Change: a crash does not count against a part if two or more other upstreams crashed within 75 ms of it without the part. Since the others may become known a moment later, it is judged 150 ms after the crash; a verdict comes that much later. Upstreams that break off only streams in progress are looked at as well, because they belong to the same wave.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -171,14 +171,14 @@
 		s.running--
 	}
 	a.counted = nil
-	if o != Broken || a.cleared {
+	if o != Broken {
 		return false
 	}
 	return q.recordBreak(now, a)
 }
 
-// recordBreak records that an upstream broke off a waiting request. It reports whether
-// it is the first one. The caller holds q.mu.
+// recordBreak records that an upstream broke off a request. It reports whether it is the
+// first one. The caller holds q.mu.
 func (q *Quarantine) recordBreak(now time.Time, a *Attempt) bool {
 	if _, known := q.leaving[a.upstream.ID]; known {
 		return false
@@ -194,6 +194,9 @@
 		b = &breakOff{at: now}
 		q.breaks[in] = b
 	}
+	if a.cleared {
+		return first
+	}
 	for _, part := range a.parts {
 		if b.crashed {
 			q.implicate(now, part.ID, a.crash(b, now), ownSource)
@@ -237,6 +240,7 @@
 	}
 	b.crashed = true
 	c := crash{id: CrashID(u), at: b.at, learnedAt: now, upstream: u.ID}
+	q.recordCrash(c)
 	for _, part := range b.parts {
 		q.implicate(now, part, c, ownSource)
 	}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -72,7 +72,8 @@
 // Facts returns the facts that other instances need, the most important first.
 func (q *Quarantine) Facts(now time.Time) []Fact {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
+	q.decideIfDue(now)
 	var verdicts, news []Fact
 	for _, s := range q.sorted() {
 		if s.tried() {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -20,6 +20,12 @@
 	// failure, and count as one occasion.
 	occasionTime = 200 * time.Millisecond
 
+	// A crash has a common cause if minCommon other upstreams crash within commonTime of it
+	// without the part. It is judged judgeTime after it, when peers have told of theirs.
+	commonTime = 75 * time.Millisecond
+	minCommon  = 2
+	judgeTime  = 150 * time.Millisecond
+
 	suspectOccasions = 2 // occasions that make a part suspect
 	convictOccasions = 3 // occasions that convict a part
 	minAddresses     = 2 // different addresses among them
@@ -44,6 +50,8 @@
 	suspects   map[uint64]*suspect
 	created    uint64 // number of suspects so far
 	answered   answeredParts
+	recent     []crash   // most recent crashes, the oldest first
+	decideAt   time.Time // when crashes are to be judged, zero if all are
 	breaks     map[incarnation]*breakOff
 	leaving    map[string]time.Time // when upstreams were seen to leave, by ID
 	refusals   int64
@@ -60,12 +68,13 @@
 // Check returns a refusal if a request with the parts would not be sent now, else nil.
 func (q *Quarantine) Check(now time.Time, parts []request.Part) *Refusal {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	return q.check(now, parts)
 }
 
 // check is Check. The caller holds q.mu.
 func (q *Quarantine) check(now time.Time, parts []request.Part) *Refusal {
+	q.decideIfDue(now)
 	for _, part := range parts {
 		s := q.suspects[part.ID]
 		if s == nil {
@@ -86,7 +95,8 @@
 // Verdicts returns the verdicts in force.
 func (q *Quarantine) Verdicts(now time.Time) []Convicted {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
+	q.decideIfDue(now)
 	var verdicts []Convicted
 	for _, s := range q.sorted() {
 		if s.convicted(now) {
@@ -134,10 +144,29 @@
 	}
 }
 
+// decideIfDue decides once crashes can be judged. The caller holds q.mu.
+func (q *Quarantine) decideIfDue(now time.Time) {
+	if !q.decideAt.IsZero() && !now.Before(q.decideAt) {
+		q.decide(now)
+	}
+}
+
+// judge judges the crashes of all suspects. The caller holds q.mu.
+func (q *Quarantine) judge(now time.Time) {
+	q.decideAt = time.Time{}
+	for _, s := range q.suspects {
+		next := s.judge(now, q.recent)
+		if q.decideAt.IsZero() || (!next.IsZero() && next.Before(q.decideAt)) {
+			q.decideAt = next
+		}
+	}
+}
+
 // decide convicts each part with enough evidence, the strongest first, because the
 // crashes that one verdict explains no longer count against other parts. Of equal ones
 // it is the last in the prompt, which fewer requests share. The caller holds q.mu.
 func (q *Quarantine) decide(now time.Time) {
+	q.judge(now)
 	for {
 		explained := q.explained(now)
 		doubtful := q.doubtful(now, explained)
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	maxSuspects     = 1024
-	maxCrashes      = 16 // crashes kept for a part
-	maxLoggedNames  = 8
-	addressHashBits = 32 // upper bits of a crash's ID, which tell addresses apart
+	maxSuspects      = 1024
+	maxCrashes       = 16 // crashes kept for a part
+	maxRecentCrashes = 256
+	maxLoggedNames   = 8
+	addressHashBits  = 32 // upper bits of a crash's ID, which tell addresses apart
 
 	ownSource  = "own"
 	peerSource = "peer"
@@ -39,6 +40,8 @@
 	at        time.Time
 	learnedAt time.Time
 	upstream  string // empty if a peer saw it
+	judged    bool   // common is final
+	common    bool   // the cause was common to several upstreams, and no request
 }
 
 // tried reports whether the part had a verdict that no answer has ended.
@@ -56,15 +59,51 @@
 	return s.tried() && !now.Before(s.verdict.Until)
 }
 
+// judge finds out which crashes had a common cause, once all crashes near them are known.
+// It returns when the next one can be judged, the zero time if all are.
+func (s *suspect) judge(now time.Time, recent []crash) time.Time {
+	var next time.Time
+	for i := range s.crashes {
+		c := &s.crashes[i]
+		switch {
+		case c.judged:
+		case now.Sub(c.at) < judgeTime:
+			if next.IsZero() {
+				next = c.at.Add(judgeTime)
+			}
+		default:
+			c.judged = true
+			c.common = s.othersNear(c.at, recent) >= minCommon
+		}
+	}
+	return next
+}
+
+// othersNear returns the number of crashes near time t in which the part was not.
+func (s *suspect) othersNear(t time.Time, recent []crash) int {
+	n := 0
+	for _, c := range recent {
+		if c.at.Sub(t).Abs() <= commonTime && !s.holds(c.id) {
+			n++
+		}
+	}
+	return n
+}
+
+// holds reports whether the part is known to have been in a crash.
+func (s *suspect) holds(id uint64) bool {
+	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.id == id })
+}
+
 // occasions returns the number of occasions on which upstreams crashed, and whether
-// they were at enough addresses. It leaves out explained crashes and the one with the
-// ID except.
+// they were at enough addresses. It leaves out crashes with a common cause, explained
+// ones and the one with the ID except.
 func (s *suspect) occasions(now time.Time, explained map[uint64]bool, except uint64) (int, bool) {
 	n := 0
 	var start time.Time
 	addresses := map[uint64]bool{}
 	for _, c := range s.crashes {
-		if explained[c.id] || c.id == except || now.Sub(c.at) > evidenceTime {
+		if c.common || explained[c.id] || c.id == except || now.Sub(c.at) > evidenceTime {
 			continue
 		}
 		addresses[c.id>>addressHashBits] = true
@@ -79,13 +118,15 @@
 // evidence returns the number of occasions against a part without a verdict in force,
 // and whether they convict it.
 func (s *suspect) evidence(now time.Time, explained map[uint64]bool) (int, bool) {
-	if s.convicted(now) {
+	if s.convicted(now) || (!s.tried() && len(s.crashes) < convictOccasions) {
 		return 0, false
 	}
-	n, spread := s.occasions(now, explained, 0)
+	judged := *s
+	judged.crashes = slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return !c.judged || c.common || explained[c.id] })
+	n, spread := judged.occasions(now, explained, 0)
 	if s.onProbation(now) {
-		last := len(s.crashes) - 1
-		return n, last >= 0 && !s.crashes[last].at.Before(s.verdict.Until) && !explained[s.crashes[last].id]
+		last := len(judged.crashes) - 1
+		return n, last >= 0 && !judged.crashes[last].at.Before(s.verdict.Until)
 	}
 	return n, spread && n >= convictOccasions+s.furtherOccasions()
 }
@@ -116,7 +157,7 @@
 // addCrash adds a crash unless it is known or voided by an answer. It reports whether it
 // was added.
 func (s *suspect) addCrash(c crash) bool {
-	if !c.at.After(s.answeredAt) || slices.ContainsFunc(s.crashes, func(o crash) bool { return o.id == c.id }) {
+	if !c.at.After(s.answeredAt) || s.holds(c.id) {
 		return false
 	}
 	s.crashes = append(s.crashes, c)
@@ -228,6 +269,7 @@
 
 // implicate records that a part was implicated in a crash. The caller holds q.mu.
 func (q *Quarantine) implicate(now time.Time, part uint64, c crash, source string) {
+	q.recordCrash(c)
 	s := q.suspectOf(now, part)
 	if !s.addCrash(c) {
 		if source == peerSource && !c.at.After(s.answeredAt) {
@@ -245,6 +287,17 @@
 	}
 }
 
+// recordCrash remembers a crash, whatever waited there. The caller holds q.mu.
+func (q *Quarantine) recordCrash(c crash) {
+	if slices.ContainsFunc(q.recent, func(o crash) bool { return o.id == c.id }) {
+		return
+	}
+	q.recent = append(q.recent, c)
+	if over := len(q.recent) - maxRecentCrashes; over > 0 {
+		q.recent = slices.Delete(q.recent, 0, over)
+	}
+}
+
 // shareAnswer lets peers know of the part's answer unless that was done just now. The
 // caller holds q.mu.
 func (q *Quarantine) shareAnswer(now time.Time, s *suspect) {
