Require exact counts at once after the return of cut instances

The check of counts that replaced the former one let instances of other regions have the exact count at some moment within 3.02 s also after the cut instances had been back for ten seconds, where the former check required it at once. It does so again.

--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -398,8 +398,8 @@
 // expectCount checks the number of requests that the instances count at the first
 // upstream, those that are left out excepted. The instances of its region must count
 // them exactly once the time own has passed, those of other regions at some moment
-// within maxFarCountAge; no instance may ever count more.
-func (fl *testFleet) expectCount(expected int, own time.Duration, leftOut []int) {
+// within the time far; no instance may ever count more.
+func (fl *testFleet) expectCount(expected int, own, far time.Duration, leftOut []int) {
 	fl.t.Helper()
 	last := make([]int, len(fl.services))
 	exact := make([]bool, len(fl.services))
@@ -409,7 +409,7 @@
 				continue
 			}
 			last[i] = fl.running(i, 0)
-			exact[i] = exact[i] || last[i] == expected
+			exact[i] = exact[i] || (last[i] == expected && time.Since(begun) <= far)
 			late := fl.nearUpstream(i) && time.Since(begun) >= own && last[i] < expected
 			if late || last[i] > expected {
 				fl.t.Fatalf("instance %d counts %d requests after %s, expected %d", i, last[i], time.Since(begun), expected)
@@ -418,7 +418,7 @@
 	}
 	for i := range fl.services {
 		if !exact[i] && !slices.Contains(leftOut, i) {
-			fl.t.Errorf("instance %d never counted %d requests within %s, but %d in the end", i, expected, maxFarCountAge, last[i])
+			fl.t.Errorf("instance %d never counted %d requests within %s, but %d in the end", i, expected, far, last[i])
 		}
 	}
 }
@@ -465,10 +465,10 @@
 				expected++
 			}
 		}
-		fl.expectCount(expected, maxCountAge, lost)
+		fl.expectCount(expected, maxCountAge, maxFarCountAge, lost)
 		fl.setCut(lost, false)
 		time.Sleep(maxReturn)
 		assert.Equal(t, len(fl.alert()), alertInstances)
-		fl.expectCount(expected, 0, nil)
+		fl.expectCount(expected, 0, 0, nil)
 	})
 }
