Take one turn of the round robin for a request that does not queue

Seen by reading: with the policy FIFO, the check whether such a request can be granted took a turn of the round robin and the grant the next one, so that of two upstreams one got all requests until it was full.

A second floor grant cannot come of it: the check never uses the places beyond the limit, and such a request is not queued.

Test: TestTryKeepsTurn; before, both requests went to one upstream. The tests of floors and overload of the package pass with -race.

--- a/pool/random_test.go
+++ b/pool/random_test.go
@@ -236,6 +236,22 @@
 	assert.Assert(t, m.served["low"] > 0)
 }
 
+// TestTryKeepsTurn guards against a request that does not queue and takes two turns of the
+// round robin, so that every second upstream gets nothing.
+func TestTryKeepsTurn(t *testing.T) {
+	s, now := newShard(FIFO, &invariant.Checker{Panic: true}, 2, 3, 100)
+	granted := map[string]int{}
+	for i := range 2 {
+		r := GrantRequest{ID: fmt.Sprint(i), Holder: "entry-1", Class: "top", Rank: 1, Arrived: now, Expires: now.Add(time.Minute), Try: true}
+		for _, d := range s.RequestGrant(now, r) {
+			g, ok := d.(Granted)
+			assert.Assert(t, ok, "%v", d)
+			granted[g.Grant.Upstream]++
+		}
+	}
+	assert.Equal(t, len(granted), 2, "%v", granted)
+}
+
 // BenchmarkDecision times one request and one grant with a number of requests in the
 // queue.
 func BenchmarkDecision(b *testing.B) {
--- a/pool/shard.go
+++ b/pool/shard.go
@@ -122,9 +122,15 @@
 }
 
 // grantable reports whether the request would be granted at once: no other
-// request waits and an upstream has a free slot.
+// request waits and an upstream has a free slot. It takes no turn of the round robin.
 func (s *Shard) grantable(now time.Time, r GrantRequest) bool {
-	return !now.Before(s.openAt) && s.queue.Len() == 0 && s.place(now, r, false) != nil
+	if now.Before(s.openAt) || s.queue.Len() > 0 {
+		return false
+	}
+	turn := s.nextUpstream
+	u := s.place(now, r, false)
+	s.nextUpstream = turn
+	return u != nil
 }
 
 // refusalReason returns the reason to refuse the request whatever the queue holds:
