Count all tokens of a whole answer in the load stand-in

Seen by reading: answers that are not streamed were counted by the blank before each token, which the first one lacks. The count is now the one that the answer states.

Test: TestWholeAnswerTokens; before, 2 tokens of 3.

--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -193,13 +193,27 @@
 	if l.Service != "" || !l.Streamed {
 		body, err := io.ReadAll(resp.Body)
 		r.FirstToken = time.Since(start)
-		r.Tokens = bytes.Count(body, []byte(" w"))
+		r.Tokens = completionTokens(body)
 		r.Outcome = outcome(err == nil)
 		return
 	}
 	r.readStream(resp.Body, start)
 }
 
+// completionTokens returns the number of tokens that a whole answer states, zero if it
+// states none.
+func completionTokens(body []byte) int {
+	var a struct {
+		Usage struct {
+			Tokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return 0
+	}
+	return a.Usage.Tokens
+}
+
 // outcome returns the outcome of an answer that is not streamed.
 func outcome(complete bool) string {
 	if complete {
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -1,7 +1,11 @@
 package load
 
 import (
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -22,3 +26,13 @@
 		"x.ini:2: [Load A] Rate: \"fast\" is not accepted; expected a number from 0.001 to 100000\n"+
 		"x.ini:3: [Other] unknown section; expected [Scenario] or [Load CLASS]")
 }
+
+// TestWholeAnswerTokens guards against a whole answer of which one token is not counted.
+func TestWholeAnswerTokens(t *testing.T) {
+	body := `{"choices":[{"message":{"content":"w0-1 w1-2 w2-3 "}}],"usage":{"completion_tokens":3}}`
+	resp := &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}
+	var r Result
+	r.read(resp, ClassLoad{}, time.Now())
+	assert.Equal(t, r.Outcome, "ok")
+	assert.Equal(t, r.Tokens, 3)
+}
