--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -227,15 +227,10 @@
 	if !conn.Reused {
 		rs.s.Picker.Connected(u, conn.DialTime)
 	}
-	if !rs.s.Roster().Accepts(u.ID) {
-		conn.Close()
-		attempt.End(time.Now(), balancer.Abandoned)
-		return notSent{reason: "the upstream has begun to leave"}
-	}
-	if attempt.Paused(time.Now()) {
+	if reason := rs.unusableReason(u, attempt); reason != "" {
 		conn.Close()
 		attempt.End(time.Now(), balancer.Abandoned)
-		return notSent{reason: "the upstream has asked for a pause"}
+		return notSent{reason: reason}
 	}
 	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared())
 	if refusal != nil {
@@ -261,6 +256,18 @@
 	return res
 }
 
+// unusableReason returns the reason why an upstream that was chosen takes no request any
+// more, or an empty string.
+func (rs *requestState) unusableReason(u *route.Upstream, attempt *balancer.Attempt) string {
+	if !rs.s.Roster().Accepts(u.ID) {
+		return "the upstream has begun to leave"
+	}
+	if attempt.Paused(time.Now()) {
+		return "the upstream has asked for a pause"
+	}
+	return ""
+}
+
 // recordDeparture records that the upstream has said in its answer that it leaves.
 func (rs *requestState) recordDeparture() {
 	u := rs.choice.Upstream
