--- a/request/failure.go
+++ b/request/failure.go
@@ -110,15 +110,6 @@
 	return Undecided("%s", f.Message)
 }
 
-// Broken returns a failure of type Failed (HTTP 502).
-func Broken(format string, args ...any) *Failure {
-	return &Failure{
-		Type:    Failed,
-		Status:  http.StatusBadGateway,
-		Message: fmt.Sprintf(format, args...),
-	}
-}
-
 // Malformed returns a failure of type Invalid (HTTP 400) with all findings.
 func Malformed(findings []Finding) *Failure {
 	return &Failure{
