Preempt nothing for grant requests that are moved to another owner

Seen by reading: an owner that lost a shard withdrew its waiting requests one by one. Each withdrawal decided anew for the others, and a decision to preempt for one of them was dropped. Its grant stayed marked as being preempted, which holds up other preemptions in the shard while the grant runs, if the owner gets the shard back.

All are now withdrawn before anything is decided, and the decisions are carried out.

Test: TestWithdrawAllPreemptsNothing; with a decision after each withdrawal a grant was marked.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -84,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.shards {
-		o.replyMoved(time.Now())
+		s.replyMoved(time.Now(), o)
 	}
 	return nil
 }
@@ -131,7 +131,7 @@
 		if o := s.shards[name]; o != nil {
 			s.configure(now, o, snap, leaving)
 			if !isOwner {
-				o.replyMoved(now)
+				s.replyMoved(now, o)
 			}
 		}
 		s.mu.Unlock()
@@ -183,14 +183,16 @@
 	return o
 }
 
-// replyMoved withdraws all waiting grant requests and replies Moved to them. The
-// caller holds Service.mu.
-func (o *ownedShard) replyMoved(now time.Time) {
+// replyMoved withdraws all waiting grant requests of a shard and replies Moved to them.
+// The caller holds s.mu.
+func (s *Service) replyMoved(now time.Time, o *ownedShard) {
+	ids := make([]string, 0, len(o.waiters))
 	for id, ch := range o.waiters {
+		ids = append(ids, id)
 		delete(o.waiters, id)
-		o.Withdraw(now, id)
 		ch <- Reply{Moved: true}
 	}
+	s.apply(o, o.WithdrawAll(now, ids))
 }
 
 // apply carries out the decisions of a shard. The caller holds s.mu.
--- a/pool/random_test.go
+++ b/pool/random_test.go
@@ -236,6 +236,27 @@
 	assert.Assert(t, m.served["low"] > 0)
 }
 
+// TestWithdrawAllPreemptsNothing guards against a preemption for a request that is
+// withdrawn with the others: its decision is not carried out, and the grant would stay
+// marked and hold up later preemptions.
+func TestWithdrawAllPreemptsNothing(t *testing.T) {
+	s, now := newShard(Tiered, &invariant.Checker{Panic: true}, 1, 3, 100)
+	request := func(id, class string, rank int) {
+		s.RequestGrant(now, GrantRequest{ID: id, Holder: "h", Class: class, Rank: rank, Restartable: true, Arrived: now, Expires: now.Add(time.Minute)})
+	}
+	for i := range 3 {
+		request(fmt.Sprint("low-", i), "low", 3)
+	}
+	assert.Equal(t, len(s.grants), 3)
+	request("top-1", "top", 1)
+	request("top-2", "top", 1)
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, len(s.WithdrawAll(now, []string{"top-1", "top-2"})), 0)
+	for id, g := range s.grants {
+		assert.Assert(t, !g.Preempting, "%s is marked as preempted", id)
+	}
+}
+
 // TestTryKeepsTurn guards against a request that does not queue and takes two turns of the
 // round robin, so that every second upstream gets nothing.
 func TestTryKeepsTurn(t *testing.T) {
--- a/pool/shard.go
+++ b/pool/shard.go
@@ -239,6 +239,19 @@
 // before its request is stored until GrantLease has passed; a request that
 // arrives in this time is refused.
 func (s *Shard) Withdraw(now time.Time, id string) []Decision {
+	return s.WithdrawAll(now, []string{id})
+}
+
+// WithdrawAll cancels requests and unused grants as Withdraw does, before anything is
+// decided for those that remain.
+func (s *Shard) WithdrawAll(now time.Time, ids []string) []Decision {
+	for _, id := range ids {
+		s.withdraw(now, id)
+	}
+	return s.schedule(now)
+}
+
+func (s *Shard) withdraw(now time.Time, id string) {
 	switch {
 	case s.requests[id] != nil:
 		s.dequeue(id)
@@ -247,7 +260,6 @@
 	default:
 		s.withdrawn[id] = now
 	}
-	return s.schedule(now)
 }
 
 // Refresh applies a holder's reports of all grants that it has in use. Grants that
