Answer a request that was read together with the one before it during a stop

Callers that send requests without waiting for the answers saw the connection close without an answer when a planned stop began while a later one of them was handled.

Cause: the end of the first answer makes the connection idle. The bytes of the next request were in the reader's buffer already, so that no read showed that an answer was owed. The stop then ended the reads of the connection: net/http cancelled the request, or its body broke off.

Change: a handler that begins, and a read ahead of one byte, which net/http makes only while a request is handled, record that an answer is owed.

TestShutdownAnswersPipelinedRequest failed before, without a body and with one that comes after the stop has begun: the second request was not answered. It passes now. With and without the race detector no other test of the package fails.

--- a/webserver/conn.go
+++ b/webserver/conn.go
@@ -28,6 +28,11 @@
 // Read reads from the connection. It returns io.EOF if the connection is to end and
 // no answer is owed.
 func (c *conn) Read(p []byte) (int, error) {
+	// While a request is handled, package net/http reads single bytes ahead.
+	ahead := len(p) == 1
+	if ahead {
+		c.handling()
+	}
 	if c.ended() {
 		return 0, io.EOF
 	}
@@ -35,7 +40,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.received(len(p))
+		c.received(ahead)
 		return n, err
 	}
 	if err != nil && c.interrupted && !c.owed {
@@ -51,11 +56,23 @@
 	return c.ending && !c.owed
 }
 
-// received records that bytes were read into a buffer of the given length. The caller
-// holds c.mu.
-func (c *conn) received(length int) {
-	// While a request is handled, package net/http reads single bytes ahead.
-	c.early = c.owed && length == 1
+// received records that bytes were read, and whether that was ahead of the next request.
+// The caller holds c.mu.
+func (c *conn) received(ahead bool) {
+	c.early = ahead
+	c.owe()
+}
+
+// handling records that a request is handled. It may have been read together with the
+// one before it, so that the connection seemed to be idle.
+func (c *conn) handling() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owe()
+}
+
+// owe records that an answer is owed. The caller holds c.mu.
+func (c *conn) owe() {
 	c.owed = true
 	if c.interrupted {
 		c.interrupted = false
--- a/webserver/webserver.go
+++ b/webserver/webserver.go
@@ -58,6 +58,7 @@
 		IdleTimeout:       cmp.Or(s.IdleTimeout, idleTimeout),
 		MaxHeaderBytes:    cmp.Or(s.MaxHeaderBytes, maxHeaderBytes),
 		ConnState:         s.setState,
+		ConnContext:       withConn,
 	}
 	s.done = make(chan struct{})
 	go func() {
@@ -67,8 +68,19 @@
 	return nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.handling()
+	}
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/webserver/webserver_test.go
+++ b/webserver/webserver_test.go
@@ -229,3 +229,44 @@
 		time.Sleep(time.Hour)
 	})
 }
+
+// TestShutdownAnswersPipelinedRequest guards against a request that was read together
+// with the one before it and is cancelled, because its connection counts as idle.
+func TestShutdownAnswersPipelinedRequest(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newPipeListener(0)
+			s := &Server{Listen: l.listen, Handler: http.HandlerFunc(serveSlowly)}
+			assert.NilError(t, s.Run())
+			c := newCaller(t, l)
+			pipelined := request
+			if body != "" {
+				pipelined = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+			}
+			assert.NilError(t, c.send(request+pipelined))
+			assert.Assert(t, c.answered())
+			synctest.Wait()
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(t.Context()) }()
+			time.Sleep(time.Millisecond)
+			if body != "" {
+				assert.NilError(t, c.send(body))
+			}
+			assert.Assert(t, c.answered(), "a pipelined request with the body %q is not answered", body)
+			assert.NilError(t, <-stopped)
+			assert.NilError(t, s.Close())
+		})
+	}
+}
+
+// serveSlowly reads the body and answers after a second, unless the request is cancelled.
+func serveSlowly(_ http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	case <-time.After(time.Second):
+	}
+}
