Do not interrupt a silent upstream if the others are paused

Callers of a route that may be repeated got a 502 in place of a late answer: their upstream was interrupted because it was silent, while all others had asked for a pause.

Cause: HasUpstream left out avoided and excluded upstreams but not paused ones, which Choose never chooses.

Change: HasUpstream leaves out paused upstreams.

TestHasUpstreamPaused failed before: a paused upstream was reported as one to which the request can be sent. It passes now.

--- a/balancer/pause_test.go
+++ b/balancer/pause_test.go
@@ -60,3 +60,14 @@
 	_, ok = p.Choose(now.Add(time.Second), us[:1], r)
 	assert.Assert(t, ok)
 }
+
+// TestHasUpstreamPaused guards against the interruption of a silent upstream for the sake
+// of another one that is paused, to which the request then cannot be sent.
+func TestHasUpstreamPaused(t *testing.T) {
+	us, now, p := upstreams(2), time.Unix(1000, 0), newPicker()
+	avoid := map[string]bool{"u-0": true}
+	assert.Assert(t, p.HasUpstream(now, us, avoid))
+	pause(p, now, us[1], time.Second)
+	assert.Assert(t, !p.HasUpstream(now, us, avoid))
+	assert.Assert(t, p.HasUpstream(now.Add(time.Second), us, avoid))
+}
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -99,11 +99,12 @@
 	}
 }
 
-// HasUpstream reports whether one of the candidates is neither avoided nor excluded.
+// HasUpstream reports whether one of the candidates is neither avoided, excluded nor
+// paused.
 func (p *Picker) HasUpstream(now time.Time, candidates []*route.Upstream, avoid map[string]bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, u := range candidates {
+	for _, u := range p.unpaused(now, candidates) {
 		if !avoid[u.ID] && !now.Before(p.state(now, u).excludedUntil) {
 			return true
 		}
