Count crashes of an upstream that was started again after it had left

Cause: the quarantine remembered upstreams that leave by their ID alone, so that the end of the next incarnation under that ID was taken for a planned one too.

Change: an upstream that leaves is remembered by its ID and its start.

TestCrashesAfterRestart failed before: three crashes on one part at three addresses led to no verdict. It passes now. The step leaving of the scripts takes upstreams in place of IDs; what the scripts expect is unchanged.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -131,7 +131,7 @@
 	i.Roster = &roster.Service{
 		Platform: i.store, Peers: i.Peers, Log: i.Log, Role: i.role, Deadline: i.Settings.Routes.LeavingDeadline,
 		OnChange: func(r *roster.Roster) {
-			i.Quarantine.Leaving(time.Now(), r.Leaving())
+			i.Quarantine.Leaving(time.Now(), r.LeavingUpstreams())
 			i.stateChanged()
 		},
 	}
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -25,6 +25,11 @@
 	born int64
 }
 
+// incarnationOf returns the incarnation of an upstream.
+func incarnationOf(u *route.Upstream) incarnation {
+	return incarnation{id: u.ID, born: u.Born}
+}
+
 // breakOff is what is known of an upstream that broke off requests.
 type breakOff struct {
 	at      time.Time
@@ -180,10 +185,10 @@
 // recordBreak records that an upstream broke off a waiting request. It reports whether
 // it is the first one. The caller holds q.mu.
 func (q *Quarantine) recordBreak(now time.Time, a *Attempt) bool {
-	if _, known := q.leaving[a.upstream.ID]; known {
+	in := incarnationOf(a.upstream)
+	if _, known := q.leaving[in]; known {
 		return false
 	}
-	in := incarnation{id: a.upstream.ID, born: a.upstream.Born}
 	b := q.breaks[in]
 	first := b == nil
 	if first {
@@ -228,11 +233,12 @@
 func (q *Quarantine) Crashed(now time.Time, u *route.Upstream) {
 	q.mu.Lock()
 	defer q.unlock()
-	b := q.breaks[incarnation{id: u.ID, born: u.Born}]
+	in := incarnationOf(u)
+	b := q.breaks[in]
 	if b == nil || b.crashed {
 		return
 	}
-	if _, known := q.leaving[u.ID]; known {
+	if _, known := q.leaving[in]; known {
 		return
 	}
 	b.crashed = true
@@ -248,27 +254,27 @@
 func (q *Quarantine) Survived(u *route.Upstream) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	in := incarnation{id: u.ID, born: u.Born}
+	in := incarnationOf(u)
 	if b := q.breaks[in]; b != nil && !b.crashed {
 		delete(q.breaks, in)
 	}
 }
 
 // Leaving records that upstreams are leaving, so that their end is no crash.
-func (q *Quarantine) Leaving(now time.Time, ids []string) {
+func (q *Quarantine) Leaving(now time.Time, us []*route.Upstream) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.leaving == nil {
-		q.leaving = map[string]time.Time{}
+		q.leaving = map[incarnation]time.Time{}
 	}
-	for id, at := range q.leaving {
+	for in, at := range q.leaving {
 		if now.Sub(at) > leavingTime {
-			delete(q.leaving, id)
+			delete(q.leaving, in)
 		}
 	}
-	for _, id := range ids {
+	for _, u := range us {
 		if len(q.leaving) < maxLeaving {
-			q.leaving[id] = now
+			q.leaving[incarnationOf(u)] = now
 		}
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,7 +45,7 @@
 	created    uint64 // number of suspects so far
 	answered   answeredParts
 	breaks     map[incarnation]*breakOff
-	leaving    map[string]time.Time // when upstreams were seen to leave, by ID
+	leaving    map[incarnation]time.Time // when upstreams were seen to leave
 	refusals   int64
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -103,7 +103,11 @@
 	case "survived":
 		q.Survived(upstream(args[0]))
 	case "leaving":
-		q.Leaving(now, args)
+		var us []*route.Upstream
+		for _, name := range args {
+			us = append(us, upstream(name))
+		}
+		q.Leaving(now, us)
 	case "implicated":
 		q.Apply(now, []quarantine.Fact{quarantine.Implicated{Part: partID(args[0]), Crash: quarantine.CrashID(upstream(args[1])), At: s.time(args[2])}})
 	case "convicted":
@@ -141,3 +145,25 @@
 		s.t.Fatalf("%s: unknown step", line)
 	}
 }
+
+// TestCrashesAfterRestart guards against crashes that do not count because an earlier
+// incarnation of the upstream has left.
+func TestCrashesAfterRestart(t *testing.T) {
+	q, now := newQuarantine(), start
+	for i := range 3 {
+		u := upstream(fmt.Sprintf("a%d/u%d", i, i))
+		q.Leaving(now, []*route.Upstream{u})
+		u.Born = 2
+		crashOn(t, q, now, u)
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, quarantined(q, now)[partID("aa")])
+}
+
+// crashOn lets an upstream crash on the part aa.
+func crashOn(t *testing.T, q *quarantine.Quarantine, now time.Time, u *route.Upstream) {
+	a, refusal := q.Begin(now, u, parts("aa"))
+	assert.Assert(t, refusal == nil)
+	a.End(now, quarantine.Broken)
+	q.Crashed(now, u)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,17 +48,26 @@
 	return e != nil && !e.Leaving
 }
 
-// Leaving returns the IDs of the upstreams that are leaving, in order.
-func (r *Roster) Leaving() []string {
-	var ids []string
+// LeavingUpstreams returns the upstreams that are leaving.
+func (r *Roster) LeavingUpstreams() []*route.Upstream {
+	var us []*route.Upstream
 	if r == nil {
 		return nil
 	}
-	for id, e := range r.Entries {
+	for _, e := range r.Entries {
 		if e.Leaving {
-			ids = append(ids, id)
+			us = append(us, e)
 		}
 	}
+	return us
+}
+
+// Leaving returns the IDs of the upstreams that are leaving, in order.
+func (r *Roster) Leaving() []string {
+	var ids []string
+	for _, u := range r.LeavingUpstreams() {
+		ids = append(ids, u.ID)
+	}
 	sort.Strings(ids)
 	return ids
 }
