Look into a break of an upstream again after an unclear one

An upstream that crashed on a part of a prompt was not found to have crashed if, any time before, it had broken off a request and could not be reached to find out why.

Cause: the record of the first break was deleted only when another upstream broke off requests. Until then a later break was not the first, so that nobody looked into it, and the crash would have had the time of the first break.

Change: old records are deleted at each break.

TestCrashAfterUnclearBreak failed before: the break a minute after an unclear one was not to be looked into. It passes now.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -189,10 +189,10 @@
 	if _, known := q.leaving[in]; known {
 		return false
 	}
+	q.sweepBreaks(now)
 	b := q.breaks[in]
 	first := b == nil
 	if first {
-		q.sweepBreaks(now)
 		if len(q.breaks) >= maxBreaks {
 			return false
 		}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -160,6 +160,17 @@
 	assert.Assert(t, quarantined(q, now)[partID("aa")])
 }
 
+// TestCrashAfterUnclearBreak guards against the crash of an upstream that is not looked
+// into, because it was not found out what an earlier break of a connection was.
+func TestCrashAfterUnclearBreak(t *testing.T) {
+	q, u := newQuarantine(), upstream("u1")
+	for _, at := range []time.Duration{0, time.Minute} {
+		a, refusal := q.Begin(start.Add(at), u, parts("aa"))
+		assert.Assert(t, refusal == nil)
+		assert.Assert(t, a.End(start.Add(at), quarantine.Broken), "the break at %s is not looked into", at)
+	}
+}
+
 // crashOn lets an upstream crash on the part aa.
 func crashOn(t *testing.T, q *quarantine.Quarantine, now time.Time, u *route.Upstream) {
 	a, refusal := q.Begin(now, u, parts("aa"))
