--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -53,7 +53,7 @@
 	recent     []crash   // most recent crashes, the oldest first
 	decideAt   time.Time // when crashes are to be judged, zero if all are
 	breaks     map[incarnation]*breakOff
-	leaving    map[string]time.Time // when upstreams were seen to leave, by ID
+	leaving    map[incarnation]time.Time // when upstreams were seen to leave
 	refusals   int64
 }
 
