Interrupt the waiting requests with a part when it is quarantined

Change: the quarantine keeps the attempts without an event and interrupts those with the part. The quarantine's attempt ends before the connection goes back to its pool, so that no later request on it is interrupted.

Package quarantine passes with -race, TestDeadlyPartCrashesNoFurtherUpstreams in 3 of 3 runs without it.

--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -41,12 +41,27 @@
 	return request.Unavailable(text, quarantine.PartName(r.Part), r.Crashes).WithRetryAfter(r.RetryAfter)
 }
 
+// withdraw returns what became of a send that was interrupted because of a part of the
+// prompt, or the result itself.
+func (t *transfer) withdraw(res result) result {
+	if _, ok := res.(broken); !ok || !t.watched.Withdrawn() {
+		return res
+	}
+	if r := t.rs.s.Quarantine.Check(time.Now(), t.rs.headers.Prompt.Shared()); r != nil {
+		return withheld{refusal: r}
+	}
+	return res
+}
+
 // endWatch tells the quarantine how the send ended, and finds out whether an upstream
 // that broke it off has crashed.
 func (t *transfer) endWatch(res result) {
 	if t.watched.End(time.Now(), t.watchOutcome(res)) {
 		t.rs.s.probe(t.rs.choice.Upstream)
 	}
+	if t.watched.Withdrawn() {
+		t.keep = false
+	}
 }
 
 // watchOutcome returns the outcome of the send as the quarantine records it.
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -204,7 +204,7 @@
 		attempt.End(time.Now(), balancer.Abandoned)
 		return notSent{reason: "the upstream has begun to leave"}
 	}
-	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared())
+	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared(), conn.Interrupt)
 	if refusal != nil {
 		conn.Close()
 		attempt.End(time.Now(), balancer.Abandoned)
@@ -216,7 +216,7 @@
 	stop := context.AfterFunc(ctx, conn.Interrupt)
 	t := &transfer{rs: rs, ctx: ctx, conn: conn, attempt: attempt, watched: watched}
 	unwatch := t.watchSilence()
-	res := t.roundTrip(rs.outgoing(u))
+	res := t.withdraw(t.roundTrip(rs.outgoing(u)))
 	unwatch()
 	if !stop() || t.silent.Load() {
 		t.keep = false
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -246,13 +246,14 @@
 
 // finish returns the connection to its pool or closes it, and ends the attempt.
 func (t *transfer) finish(res result) {
+	// The quarantine may interrupt the connection until then.
+	t.endWatch(res)
 	if t.keep && t.resp != nil && httpwire.Delimited(t.resp) {
 		t.rs.s.Connections.Put(t.conn, t.resp)
 	} else {
 		t.conn.Close()
 	}
 	t.attempt.End(time.Now(), t.outcome(res))
-	t.endWatch(res)
 }
 
 // outcome returns the outcome of the send that the picker records.
@@ -267,6 +268,8 @@
 		return balancer.Rejected
 	case notSent:
 		return balancer.Unreachable
+	case withheld:
+		return balancer.Abandoned
 	case broken:
 		if t.silent.Load() {
 			return balancer.Unreachable
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +47,8 @@
 	quarantine  *Quarantine
 	upstream    *route.Upstream
 	parts       []request.Part
+	interrupt   func()
+	withdrawn   atomic.Bool
 	counted     []*suspect // whose number of running requests includes this one
 	answeringAt time.Time
 	cleared     bool
@@ -61,9 +65,10 @@
 )
 
 // Begin records that a request with the shared parts is sent to an upstream. It returns
-// a refusal instead if it must not be sent.
-func (q *Quarantine) Begin(now time.Time, u *route.Upstream, parts []request.Part) (*Attempt, *Refusal) {
-	a := &Attempt{quarantine: q, upstream: u, parts: parts}
+// a refusal instead if it must not be sent. The function interrupt is called, without
+// blocking, if a part is convicted while the request waits for its answer.
+func (q *Quarantine) Begin(now time.Time, u *route.Upstream, parts []request.Part, interrupt func()) (*Attempt, *Refusal) {
+	a := &Attempt{quarantine: q, upstream: u, parts: parts, interrupt: interrupt}
 	if len(parts) == 0 {
 		return a, nil
 	}
@@ -71,6 +76,7 @@
 	refusal := q.check(now, parts)
 	if refusal == nil {
 		a.count(now)
+		q.await(a)
 	}
 	q.unlock()
 	if refusal == nil {
@@ -82,6 +88,31 @@
 	return a, nil
 }
 
+// await adds an attempt to those that wait for their answers. The caller holds q.mu.
+func (q *Quarantine) await(a *Attempt) {
+	if q.waiting == nil {
+		q.waiting = map[*Attempt]bool{}
+	}
+	q.waiting[a] = true
+}
+
+// withdraw interrupts the attempts with a part that wait for their answers. The caller
+// holds q.mu.
+func (q *Quarantine) withdraw(part uint64) {
+	for a := range q.waiting {
+		if slices.ContainsFunc(a.parts, func(p request.Part) bool { return p.ID == part }) {
+			a.withdrawn.Store(true)
+			a.interrupt()
+			delete(q.waiting, a)
+		}
+	}
+}
+
+// Withdrawn reports whether the attempt was interrupted.
+func (a *Attempt) Withdrawn() bool {
+	return a.withdrawn.Load()
+}
+
 // count counts the attempt at each part that is limited to one request at a time. The
 // caller holds the quarantine's lock.
 func (a *Attempt) count(now time.Time) {
@@ -119,6 +150,9 @@
 	case len(a.parts) == 0 || a.cleared:
 	case a.answeringAt.IsZero():
 		a.answeringAt = now
+		a.quarantine.mu.Lock()
+		delete(a.quarantine.waiting, a)
+		a.quarantine.mu.Unlock()
 	case now.Sub(a.answeringAt) >= settleTime:
 		a.clear(now)
 	}
@@ -167,6 +201,7 @@
 	q := a.quarantine
 	q.mu.Lock()
 	defer q.unlock()
+	delete(q.waiting, a)
 	for _, s := range a.counted {
 		s.running--
 	}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -66,6 +66,9 @@
 		return
 	}
 	q.generation++
+	if s.convicted(now) {
+		q.withdraw(s.part)
+	}
 	q.log(now, s, peerSource).Warn("prompt part is quarantined")
 }
 
--- a/quarantine/merge_test.go
+++ b/quarantine/merge_test.go
@@ -68,7 +68,7 @@
 	for n := range 3 {
 		generation := own.Generation()
 		u := upstream(fmt.Sprintf("u%d", n))
-		a, refusal := own.Begin(now, u, parts("dead"))
+		a, refusal := own.Begin(now, u, parts("dead"), func() {})
 		assert.Assert(t, refusal == nil)
 		a.End(now.Add(50*time.Millisecond), quarantine.Broken)
 		own.Crashed(now.Add(80*time.Millisecond), u)
@@ -98,7 +98,7 @@
 		if n < 3 {
 			names = append(names, "dead")
 		}
-		a, refusal := q.Begin(now, u, parts(names...))
+		a, refusal := q.Begin(now, u, parts(names...), func() {})
 		assert.Assert(t, refusal == nil)
 		a.End(now, quarantine.Broken)
 		q.Crashed(now, u)
@@ -116,12 +116,12 @@
 	q.Trial = func(uint64) bool { return allowed }
 	q.Apply(start, []quarantine.Fact{quarantine.Convicted{Part: 1, At: start, Until: start.Add(time.Minute), Crashes: 3}})
 	now := start.Add(2 * time.Minute)
-	_, refusal := q.Begin(now, upstream("u1"), parts("1"))
+	_, refusal := q.Begin(now, upstream("u1"), parts("1"), func() {})
 	assert.Assert(t, refusal != nil && !refusal.Quarantined)
 	allowed = true
-	a, refusal := q.Begin(now, upstream("u1"), parts("1"))
+	a, refusal := q.Begin(now, upstream("u1"), parts("1"), func() {})
 	assert.Assert(t, refusal == nil)
-	_, refusal = q.Begin(now, upstream("u1"), parts("1"))
+	_, refusal = q.Begin(now, upstream("u1"), parts("1"), func() {})
 	assert.Assert(t, refusal != nil, "a second request runs at the same time")
 	a.End(now, quarantine.Served)
 	assert.Assert(t, q.Check(now, parts("1")) == nil)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -53,6 +53,7 @@
 	recent     []crash   // most recent crashes, the oldest first
 	decideAt   time.Time // when crashes are to be judged, zero if all are
 	breaks     map[incarnation]*breakOff
+	waiting    map[*Attempt]bool    // requests without an event yet
 	leaving    map[string]time.Time // when upstreams were seen to leave, by ID
 	refusals   int64
 }
@@ -218,6 +219,7 @@
 	}
 	s.verdict = Convicted{Part: s.part, At: now, Until: now.Add(length), Crashes: len(s.crashes)}
 	q.announce()
+	q.withdraw(s.part)
 	q.log(now, s, ownSource).Warn("prompt part is quarantined")
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -89,7 +89,7 @@
 	q := s.q
 	switch step {
 	case "send":
-		a, refusal := q.Begin(now, upstream(args[1]), parts(args[2:]...))
+		a, refusal := q.Begin(now, upstream(args[1]), parts(args[2:]...), func() {})
 		assert.Assert(s.t, refusal == nil, line)
 		s.attempts[args[0]] = a
 	case "event":
@@ -133,6 +133,10 @@
 		}
 	case "refused":
 		assert.Assert(s.t, s.q.Check(now, parts(args...)) != nil, line)
+	case "withdrawn", "waiting":
+		for _, name := range args {
+			assert.Equal(s.t, s.attempts[name].Withdrawn(), step == "withdrawn", "%s: %s", line, name)
+		}
 	case "free":
 		for _, name := range args {
 			assert.Assert(s.t, s.q.Check(now, parts(name)) == nil, "%s: %s", line, name)
