--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -232,7 +232,7 @@
 		attempt.End(time.Now(), balancer.Abandoned)
 		return notSent{reason: reason}
 	}
-	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared())
+	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared(), conn.Interrupt)
 	if refusal != nil {
 		conn.Close()
 		attempt.End(time.Now(), balancer.Abandoned)
@@ -244,7 +244,7 @@
 	stop := context.AfterFunc(ctx, conn.Interrupt)
 	t := &transfer{rs: rs, ctx: ctx, conn: conn, attempt: attempt, watched: watched}
 	unwatch := t.watchSilence()
-	res := t.roundTrip(rs.outgoing(u))
+	res := t.withdraw(t.roundTrip(rs.outgoing(u)))
 	unwatch()
 	if _, ok := res.(broken); ok {
 		rs.interrupted = t.silent.Load()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -89,7 +89,7 @@
 	q := s.q
 	switch step {
 	case "send":
-		a, refusal := q.Begin(now, upstream(args[1]), parts(args[2:]...))
+		a, refusal := q.Begin(now, upstream(args[1]), parts(args[2:]...), func() {})
 		assert.Assert(s.t, refusal == nil, line)
 		s.attempts[args[0]] = a
 	case "event":
@@ -137,6 +137,10 @@
 		}
 	case "refused":
 		assert.Assert(s.t, s.q.Check(now, parts(args...)) != nil, line)
+	case "withdrawn", "waiting":
+		for _, name := range args {
+			assert.Equal(s.t, s.attempts[name].Withdrawn(), step == "withdrawn", "%s: %s", line, name)
+		}
 	case "free":
 		for _, name := range args {
 			assert.Assert(s.t, s.q.Check(now, parts(name)) == nil, "%s: %s", line, name)
@@ -165,7 +169,7 @@
 func TestCrashAfterUnclearBreak(t *testing.T) {
 	q, u := newQuarantine(), upstream("u1")
 	for _, at := range []time.Duration{0, time.Minute} {
-		a, refusal := q.Begin(start.Add(at), u, parts("aa"))
+		a, refusal := q.Begin(start.Add(at), u, parts("aa"), func() {})
 		assert.Assert(t, refusal == nil)
 		assert.Assert(t, a.End(start.Add(at), quarantine.Broken), "the break at %s is not looked into", at)
 	}
@@ -173,7 +177,7 @@
 
 // crashOn lets an upstream crash on the part aa.
 func crashOn(t *testing.T, q *quarantine.Quarantine, now time.Time, u *route.Upstream) {
-	a, refusal := q.Begin(now, u, parts("aa"))
+	a, refusal := q.Begin(now, u, parts("aa"), func() {})
 	assert.Assert(t, refusal == nil)
 	a.End(now, quarantine.Broken)
 	q.Crashed(now, u)
