--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -341,16 +342,16 @@
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
-	connected := false
+	var connected atomic.Bool // written by a dial that may outlast the request
 	dial := sim.network.dialer(from)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
-		connected = err == nil
+		connected.Store(err == nil)
 		return c, err
 	}}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return response{connected: connected}, err
+		return response{connected: connected.Load()}, err
 	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
