Convict the same part at all instances if the evidence is equal

Cause: of two parts that were in the same crashes the one that an instance had learned of last was convicted, which is the later one in the prompt only where the requests were its own. Facts arrive in any order, and both verdicts spread.

Change: Implicated carries the place of the part in the prompt. Of equal evidence the later part is convicted, then the one with the higher ID, so that all decide alike. Facts about the parts at one place in a crash share an item of the datagram.

TestEqualEvidenceInAnyOrder fails with the former order; it passes now.

--- a/exchange/factscodec.go
+++ b/exchange/factscodec.go
@@ -23,6 +23,7 @@
 const (
 	maxFacts   = 5000 // facts in one message
 	maxFactAge = 24 * time.Hour
+	maxPlace   = 1 << 10 // places in a prompt
 	maxCrashes = 1 << 20 // crashes of one verdict
 )
 
@@ -69,28 +70,37 @@
 	return b
 }
 
+// placedCrash identifies the facts that share an item: the parts at one place of the
+// prompts in one crash.
+type placedCrash struct {
+	crash uint64
+	place int
+}
+
 // factItem is a fact in a message, or the facts about one crash.
 type factItem struct {
 	kind byte
 	data []byte
 }
 
-// factItems encodes facts in their order. Those about one crash share an item.
+// factItems encodes facts in their order. Those about one crash and place share an item.
 func factItems(now time.Time, facts []quarantine.Fact) []factItem {
 	var items []factItem
-	crashes := map[uint64]int{} // positions of their items
+	crashes := map[placedCrash]int{} // positions of their items
 	for _, f := range facts {
 		item := factItem{}
 		switch f := f.(type) {
 		case quarantine.Implicated:
-			if i, ok := crashes[f.Crash]; ok {
+			key := placedCrash{crash: f.Crash, place: min(max(f.Place, 0), maxPlace)}
+			if i, ok := crashes[key]; ok {
 				items[i].data = binary.AppendUvarint(items[i].data, f.Part)
 				continue
 			}
-			crashes[f.Crash] = len(items)
+			crashes[key] = len(items)
 			item.kind = implicatedKind
 			item.data = binary.LittleEndian.AppendUint64(nil, f.Crash)
 			item.data = appendMillis(item.data, now.Sub(f.At))
+			item.data = binary.AppendUvarint(item.data, uint64(key.place))
 			item.data = binary.AppendUvarint(item.data, f.Part)
 		case quarantine.Answered:
 			item.kind, item.data = answeredKind, appendPartAge(now, f.Part, f.At)
@@ -145,10 +155,10 @@
 func (r *reader) facts(now time.Time, kind byte) []quarantine.Fact {
 	switch kind {
 	case implicatedKind:
-		crash, at := r.uint64(), now.Add(-r.millis())
+		crash, at, place := r.uint64(), now.Add(-r.millis()), r.count(maxPlace)
 		var facts []quarantine.Fact
 		for len(r.data) > 0 && !r.malformed {
-			facts = append(facts, quarantine.Implicated{Part: r.uvarint(), Crash: crash, At: at})
+			facts = append(facts, quarantine.Implicated{Part: r.uvarint(), Place: place, Crash: crash, At: at})
 		}
 		return facts
 	case answeredKind:
--- a/exchange/factscodec_test.go
+++ b/exchange/factscodec_test.go
@@ -15,7 +15,7 @@
 		Facts: []quarantine.Fact{
 			quarantine.Convicted{Part: 0xe4402b7d, At: now.Add(-2 * time.Second), Until: now.Add(time.Minute), Crashes: 5},
 			quarantine.Implicated{Part: 1 << 60, Crash: 9, At: now.Add(-300 * time.Millisecond)},
-			quarantine.Implicated{Part: 7, Crash: 9, At: now.Add(-300 * time.Millisecond)},
+			quarantine.Implicated{Part: 7, Place: 3, Crash: 9, At: now.Add(-300 * time.Millisecond)},
 			quarantine.Answered{Part: 8, At: now.Add(-4 * time.Second)},
 			quarantine.Released{Part: 9, At: now},
 		},
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -32,10 +32,16 @@
 	return incarnation{id: u.ID, born: u.Born}
 }
 
+// placedPart is a part with its place in the prompt.
+type placedPart struct {
+	id    uint64
+	place int
+}
+
 // breakOff is what is known of an upstream that broke off requests.
 type breakOff struct {
 	at      time.Time
-	parts   []uint64 // of the requests that waited, in the order of their prompts
+	parts   []placedPart // of the requests that waited
 	crashed bool
 }
 
@@ -237,11 +243,11 @@
 	if a.cleared {
 		return first
 	}
-	for _, part := range a.parts {
+	for place, part := range a.parts {
 		if b.crashed {
-			q.implicate(now, part.ID, a.crash(b, now), ownSource)
+			q.implicate(now, part.ID, place, a.crash(b, now), ownSource)
 		} else if len(b.parts) < maxBreakParts {
-			b.parts = append(b.parts, part.ID)
+			b.parts = append(b.parts, placedPart{id: part.ID, place: place})
 		}
 	}
 	if b.crashed {
@@ -283,7 +289,7 @@
 	c := crash{id: CrashID(u), at: b.at, learnedAt: now, upstream: u.ID}
 	q.recordCrash(c)
 	for _, part := range b.parts {
-		q.implicate(now, part, c, ownSource)
+		q.implicate(now, part.id, part.place, c, ownSource)
 	}
 	b.parts = nil
 	q.decide(now)
--- a/quarantine/fact.go
+++ b/quarantine/fact.go
@@ -12,6 +12,7 @@
 // that upstream crashed. Facts with the same part and crash are one.
 type Implicated struct {
 	Part  uint64
+	Place int    // of the part in the prompt, from 0
 	Crash uint64 // as CrashID returns it
 	At    time.Time
 }
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -21,7 +21,7 @@
 		switch f := fact.(type) {
 		case Implicated:
 			if now.Sub(f.At) <= evidenceTime {
-				q.implicate(now, f.Part, crash{id: f.Crash, at: f.At, learnedAt: now}, peerSource)
+				q.implicate(now, f.Part, f.Place, crash{id: f.Crash, at: f.At, learnedAt: now}, peerSource)
 			}
 		case Answered:
 			q.applyAnswer(now, f.Part, f.At)
@@ -100,7 +100,7 @@
 	}
 	for _, c := range s.crashes {
 		if now.Sub(c.learnedAt) <= freshTime {
-			facts = append(facts, Implicated{Part: s.part, Crash: c.id, At: c.at})
+			facts = append(facts, Implicated{Part: s.part, Place: s.place, Crash: c.id, At: c.at})
 		}
 	}
 	return facts
--- a/quarantine/merge_test.go
+++ b/quarantine/merge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -126,3 +127,26 @@
 	a.End(now, quarantine.Served)
 	assert.Assert(t, q.Check(now, parts("1")) == nil)
 }
+
+// TestEqualEvidenceInAnyOrder guards against instances that convict different parts of two
+// that were in the same crashes, because they learn of them in different orders.
+func TestEqualEvidenceInAnyOrder(t *testing.T) {
+	deadly, shared := partID("1"), partID("2")
+	for _, reversed := range []bool{false, true} {
+		q, now := newQuarantine(), start
+		for _, name := range []string{"u1", "u2", "u3"} {
+			now = now.Add(time.Second)
+			crash := quarantine.CrashID(upstream(name))
+			facts := []quarantine.Fact{
+				quarantine.Implicated{Part: shared, Place: 0, Crash: crash, At: now},
+				quarantine.Implicated{Part: deadly, Place: 1, Crash: crash, At: now},
+			}
+			if reversed {
+				slices.Reverse(facts)
+			}
+			q.Apply(now, facts)
+		}
+		now = now.Add(time.Second)
+		assert.DeepEqual(t, quarantined(q, now), map[uint64]bool{deadly: true})
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -164,8 +164,8 @@
 }
 
 // decide convicts each part with enough evidence, the strongest first, because the
-// crashes that one verdict explains no longer count against other parts. Of equal ones
-// it is the last in the prompt, which fewer requests share. The caller holds q.mu.
+// crashes that one verdict explains no longer count against other parts. The caller holds
+// q.mu.
 func (q *Quarantine) decide(now time.Time) {
 	q.judge(now)
 	for {
@@ -179,7 +179,7 @@
 				discounted = doubtful
 			}
 			n, enough := s.evidence(now, discounted)
-			if !enough || n < most || (n == most && strongest != nil && s.number < strongest.number) {
+			if !enough || n < most || (n == most && strongest != nil && s.before(strongest)) {
 				continue
 			}
 			strongest, most = s, n
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -23,6 +24,7 @@
 type suspect struct {
 	part       uint64
 	number     uint64    // rises from suspect to suspect
+	place      int       // highest known place in a prompt, from 0
 	crashes    []crash   // not voided by an answer, the oldest first
 	answeredAt time.Time // when an upstream last survived an answer
 	verdict    Convicted // zero if there is none
@@ -168,6 +170,12 @@
 	return true
 }
 
+// before reports whether o is convicted rather than s if the evidence is equal: the part
+// that is later in the prompts, which fewer requests share. All instances decide alike.
+func (s *suspect) before(o *suspect) bool {
+	return cmp.Or(cmp.Compare(s.place, o.place), cmp.Compare(s.part, o.part)) < 0
+}
+
 // addTo adds the IDs of the crashes to a set.
 func (s *suspect) addTo(crashes map[uint64]bool) {
 	for _, c := range s.crashes {
@@ -268,9 +276,10 @@
 }
 
 // implicate records that a part was implicated in a crash. The caller holds q.mu.
-func (q *Quarantine) implicate(now time.Time, part uint64, c crash, source string) {
+func (q *Quarantine) implicate(now time.Time, part uint64, place int, c crash, source string) {
 	q.recordCrash(c)
 	s := q.suspectOf(now, part)
+	s.place = max(s.place, place)
 	if !s.addCrash(c) {
 		if source == peerSource && !c.at.After(s.answeredAt) {
 			q.shareAnswer(now, s)
