Give a retry back if its upstream got nothing

What callers saw: a call that may be repeated, whose upstream was interrupted because it was silent, ended with 502 although another upstream could have answered.

Cause: the retry that was taken before the interruption was used up by an upstream that refused the connection, where nothing was sent. The next choice needed a second one.

Change: a send of which nothing was sent leaves its retry to the next.

TestSilentCallUsesItsRetry failed in five of six runs before (which upstream is chosen next is random); six of six pass now.

--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -126,6 +126,7 @@
 	case notSent:
 		rs.warn("upstream cannot be reached", res.reason)
 		rs.avoid[id] = true
+		rs.retryTaken = rs.sends > 0
 		if rs.unreachable++; rs.unreachable > maxUnreachable && !rs.waitToResume(ctx) {
 			return rs.giveUp("%d upstreams cannot be reached", rs.unreachable), true
 		}
--- a/simulation/edge_silence_test.go
+++ b/simulation/edge_silence_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +44,26 @@
 		})
 	}
 }
+
+// TestSilentCallUsesItsRetry guards against a call that is interrupted for a retry and
+// then fails, because the retry was used up by an upstream that could not be reached.
+func TestSilentCallUsesItsRetry(t *testing.T) {
+	simulateRoutes(t, 1, func(sim *routeSimulation) {
+		sim.instances[0].Forward.Budget.SetLimits(0, 2)
+		sim.setFaults("", runner.Faults{Delay: 1800 * time.Millisecond})
+		time.AfterFunc(400*time.Millisecond, func() {
+			spared := false
+			for id, r := range sim.runners {
+				switch {
+				case r.RunsOf("a") > 0:
+				case spared || !strings.HasPrefix(id, "calls"):
+					sim.network.resetHost(sim.hosts[id])
+				default:
+					spared = true
+					r.SetFaults(runner.Faults{})
+				}
+			}
+		})
+		sim.expect(sim.send(request{path: "/read/1", id: "a"}), 200, "answer to a")
+	})
+}
