Allow as long for the verdicts at the start as for routes and upstreams

What callers would see: after all instances ended while the store takes 0.7 s and more for an answer, none of them is live again.

Cause: an instance is not live before it has the verdicts of a peer or of the store, and one list of them was given 0.7 s; routes and upstreams are fetched within 1.5 s and 2 s.

Change: 1.5 s. TestStartWithSlowStore (1.2 s) failed before: not live within 12 s.

--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"knapweedwell/standin/platform"
 	"knapweedwell/standin/runner"
 )
 
@@ -192,3 +193,19 @@
 		t.Errorf("the test sent no requests of a kind after the crashes: %v", counts)
 	}
 }
+
+// TestStartWithSlowStore guards against instances that never become live after all of them
+// ended, because the store takes over a second for an answer.
+func TestStartWithSlowStore(t *testing.T) {
+	simulateRoutes(t, 2, func(sim *routeSimulation) {
+		sim.store.SetFaults(platform.Faults{Slow: 1200 * time.Millisecond})
+		for i := range 2 {
+			_ = sim.instances[i].Close()
+			sim.instances[i] = nil
+		}
+		for i := range 2 {
+			sim.startInstance(i)
+		}
+		sim.eventually(12*time.Second, "both instances are live", func() bool { return sim.instances[2].Live() && sim.instances[3].Live() })
+	})
+}
--- a/verdictstore/service.go
+++ b/verdictstore/service.go
@@ -19,7 +19,7 @@
 
 const (
 	checkPeriod  = 200 * time.Millisecond
-	startTimeout = 700 * time.Millisecond // for one list before this instance is ready
+	startTimeout = 1500 * time.Millisecond // for one list before this instance is ready
 	// joinTime is how long after the first list this instance looks for a peer, whose
 	// facts are more recent than a list.
 	joinTime = 3 * time.Second
