Make no call to a peer before Hello was answered

Cause: a dialled connection was put into the table of connections before Hello was sent, so another call could be written before it, or be handled before it, as the peer handles messages concurrently. Ruled out: a peer that lost its session (a session ends with its connection).

Change: the connection is used by others once Hello was answered; calls wait for the dial until then.

TestNoCallBeforeHello failed before ("a call was sent before the answer to Hello").

--- a/peer/node.go
+++ b/peer/node.go
@@ -150,9 +150,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.open[s.conn] = true
-	if s.address != "" {
-		n.conns[s.address] = s.conn
-	}
 	n.wg.Add(1)
 	go n.removeOnDisconnect(s)
 }
@@ -211,6 +208,7 @@
 		_ = c.Close()
 		return nil, errors.Wrapf(err, "exchange hello with peer %s", address)
 	}
+	n.useForCalls(address, c)
 	return c, nil
 }
 
@@ -353,8 +351,8 @@
 	return Hello{Version: protocolVersion, Name: s.node.Name, Peer: s.node.Address}, nil
 }
 
-// useForCalls uses an accepted connection for calls to its peer, unless there
-// is another one.
+// useForCalls uses a connection for calls to its peer once Hello was answered on it, unless
+// there is another one.
 func (n *Node) useForCalls(address string, c *jsonrpc2.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -106,3 +108,40 @@
 		_ = frameCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &v)
 	})
 }
+
+// TestNoCallBeforeHello guards against a call over a connection that another call has just
+// opened, which the peer refuses because it has not read the Hello yet.
+func TestNoCallBeforeHello(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	a := newNode(t, "a", "k")
+	defer a.Close()
+	results := make(chan error, 2)
+	call := func() {
+		results <- a.Call(context.Background(), l.Addr().String(), "Echo", 1, nil)
+	}
+	go call()
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	var hello struct{ ID int }
+	assert.NilError(t, frameCodec{}.ReadObject(r, &hello))
+	go call()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = r.Peek(1)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "a call was sent before the answer to Hello")
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	answer := func(id int) {
+		assert.NilError(t, frameCodec{}.WriteObject(c, map[string]any{"jsonrpc": "2.0", "id": id, "result": nil}))
+	}
+	answer(hello.ID)
+	for range 2 {
+		var req struct{ ID int }
+		assert.NilError(t, frameCodec{}.ReadObject(r, &req))
+		answer(req.ID)
+		assert.NilError(t, <-results)
+	}
+}
