--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -23,7 +24,10 @@
 	"knapweedwell/standin/runner"
 )
 
-const edgeKey = "key-of-a"
+const (
+	edgeKey            = "key-of-a"
+	instancesPerSubnet = 200
+)
 
 // packetNetwork carries datagrams between the hosts of a network.
 type packetNetwork struct {
@@ -126,6 +130,9 @@
 	apiKeys       []string
 	urgentRoute   bool     // adds a route with a higher priority than the others
 	services      []string // backends of the routes without a model
+	changeDeadline time.Duration // setting of the instances
+	addedRoutes   int      // routes beyond those that the tests call
+	zones         []string // availability zones of the instances by turns
 }
 
 // simulateRoutes runs a case with n instances on a virtual clock.
@@ -145,6 +152,7 @@
 	sim := &routeSimulation{
 		t: t, network: newNetwork(), store: platform.New(), routesVersion: 1, apiKeys: []string{edgeKey},
 		runners: map[string]*runner.Runner{}, hosts: map[string]string{}, services: []string{"calls"},
+		zones: []string{"z0"},
 	}
 	sim.packets = &packetNetwork{links: sim.network, conns: map[string]*packetConn{}}
 	sim.checker = &invariant.Checker{Report: func(name, detail string) { t.Errorf("invariant %s violated: %s", name, detail) }}
@@ -196,6 +204,11 @@
 	if sim.urgentRoute {
 		routes = append(routes, newRoute("swift", "/swift/", "stream", map[string]any{"priority": 0, "resumable": true, "sticky": true, "backends": model, "timeout_ms": 20000}))
 	}
+	for i := range sim.addedRoutes {
+		// The names are as hard to compress as those of the platform.
+		name := fmt.Sprintf("%016x", sha256.Sum256([]byte(itoa(i))))
+		routes = append(routes, newRoute(name[:12], "/"+name[12:24]+"/", "safe", map[string]any{"host": name[24:32] + ".example"}))
+	}
 	sim.store.Put("config", "main", map[string]any{
 		"version": sim.routesVersion,
 		"routes": append(routes,
@@ -238,14 +251,20 @@
 
 // startInstance starts the instance with index i.
 func (sim *routeSimulation) startInstance(i int) *edge.Instance {
-	h := fmt.Sprintf("10.1.0.%d", i+1)
+	h := fmt.Sprintf("10.1.%d.%d", i/instancesPerSubnet, i%instancesPerSubnet+1)
+	zone := sim.zones[i%len(sim.zones)]
+	regions := map[string]string{}
+	for _, z := range sim.zones {
+		regions[z] = "r"
+	}
 	in := &edge.Instance{
 		Settings: &setting.Settings{
-			Name: fmt.Sprintf("entry-%d", i+1), Region: "r", Zone: "z0", Caller: h + ":1", Peer: h + ":2", Operator: h + ":3",
+			Name: fmt.Sprintf("entry-%d", i+1), Region: "r", Zone: zone, Caller: h + ":1", Peer: h + ":2", Operator: h + ":3",
 			Platform: platformAddress, Seeds: []string{"10.1.0.1:2", "10.1.0.2:2"},
 			Routes: &setting.Routes{
 				Readiness: h + ":4", Directory: h + ":5", Exchange: h + ":6", AddressLifetime: time.Second, GracePeriod: 8 * time.Second,
-				RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Zones: map[string]string{"z0": "r"},
+				RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Zones: regions,
+				ChangeDeadline: sim.changeDeadline,
 			},
 		},
 		Dial: sim.network.dialer(h), Listen: sim.network.listen, ListenPacket: sim.packets.listen, Log: sim.log, Check: sim.checker,
--- a/simulation/network_test.go
+++ b/simulation/network_test.go
@@ -18,6 +18,7 @@
 	sameRegionLatency  = time.Millisecond
 	crossRegionLatency = 12 * time.Millisecond
 	maxBufferedBytes   = 256 << 10
+	maxPacketBytes     = 16 << 10
 )
 
 // link is one direction between two hosts; "*" stands for all hosts.
@@ -34,6 +35,8 @@
 	regions   map[string]string
 	conns     map[*conn]bool
 	readDelay map[string]time.Duration // from a read to its return, by host
+	rates     map[string]float64       // bytes a second of a host's link; no entry means no limit
+	busyUntil map[link]time.Time       // end of the transmissions from or to a host
 	changed   chan struct{}
 }
 
@@ -44,6 +47,8 @@
 		regions:   map[string]string{},
 		conns:     map[*conn]bool{},
 		readDelay: map[string]time.Duration{},
+		rates:     map[string]float64{},
+		busyUntil: map[link]time.Time{},
 		changed:   make(chan struct{}),
 	}
 }
@@ -62,6 +67,44 @@
 	return crossRegionLatency
 }
 
+// setRate limits the link of a host, in bytes a second in each direction.
+func (n *network) setRate(h string, rate float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rates[h] = rate
+}
+
+// isThin reports whether a link of the two hosts is limited. Writers then do not wait: a
+// goroutine that waits for the lock of one of them would stop the virtual clock.
+func (n *network) isThin(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rates[a] > 0 || n.rates[b] > 0
+}
+
+// transmit returns when bytes that are sent now have passed the links of both hosts,
+// without the latency.
+func (n *network) transmit(from, to string, size int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.occupy(link{from, "*"}, n.rates[from], time.Now(), size)
+	return n.occupy(link{"*", to}, n.rates[to], sent, size)
+}
+
+// occupy returns the end of a transmission over one direction of a link, after those
+// before it. The caller holds n.mu.
+func (n *network) occupy(l link, rate float64, start time.Time, size int) time.Time {
+	if rate == 0 {
+		return start
+	}
+	if until := n.busyUntil[l]; until.After(start) {
+		start = until
+	}
+	end := start.Add(time.Duration(float64(size) / rate * float64(time.Second)))
+	n.busyUntil[l] = end
+	return end
+}
+
 func (n *network) isCut(from, to string) (bool, chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -274,6 +317,17 @@
 	h.notify()
 }
 
+// append adds the data of one write in packets, which arrive one after the other if a
+// link is thin. The caller holds h.mu.
+func (h *halfConn) append(p []byte, latency time.Duration) {
+	h.buffered += len(p)
+	for len(p) > 0 {
+		packet := p[:min(len(p), maxPacketBytes)]
+		p = p[len(packet):]
+		h.chunks = append(h.chunks, chunk{append([]byte(nil), packet...), h.network.transmit(h.from, h.to, len(packet)).Add(latency)})
+	}
+}
+
 // conn is one end of a connection.
 type conn struct {
 	network       *network
@@ -397,9 +451,8 @@
 			h.mu.Unlock()
 			return 0, errors.New("broken pipe")
 		}
-		if h.buffered < maxBufferedBytes {
-			h.chunks = append(h.chunks, chunk{append([]byte(nil), p...), time.Now().Add(latency)})
-			h.buffered += len(p)
+		if h.buffered < maxBufferedBytes || c.network.isThin(c.local, c.remote) {
+			h.append(p, latency)
 			h.notify()
 			h.mu.Unlock()
 			return len(p), nil
