Pass the route table on in parts, as the difference to the last one

Cause (hypothesis A): instances that do not follow the store fetched the whole object, 300 KB and more, from the one instance that had told them. On a link of 10 Mbit/s no answer of several at once was whole within the limits of 0.4 s and 1.5 s, so the bytes were thrown away and asked for again. The class of fault: a value whose size grows with the configuration, passed on whole, within limits that were set for small ones.

Change: package transfer. A value is compressed, as the difference to the reader's version if the sender still has it; read in parts of 16 KB that are kept when the sender fails and resumed at another instance; large values go to four readers at a time, the others are told which readers have it. The old method stays for instances of earlier builds. Log and metrics give bytes, calls and outcome of fetches and the age of a version when it comes into force.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -126,7 +126,10 @@
 func (i *Instance) buildState() {
 	i.Routing = &routing.Manager{
 		Platform: i.store, Peers: i.Peers, Check: i.Check, Log: i.Log, Role: i.role, Deadline: i.Settings.Routes.ChangeDeadline,
-		OnTable: func(*route.Table) { i.stateChanged() },
+		OnTable: func(_ *route.Table, age time.Duration) {
+			i.metrics.ObserveConfigurationAge(age)
+			i.stateChanged()
+		},
 	}
 	i.Roster = &roster.Service{
 		Platform: i.store, Peers: i.Peers, Log: i.Log, Role: i.role, Deadline: i.Settings.Routes.LeavingDeadline,
@@ -223,6 +226,10 @@
 		return float64(n)
 	})
 	i.metrics.Gauge("knapweedwell_configuration_version", func() float64 { return float64(i.Routing.Version()) })
+	i.metrics.Gauge("knapweedwell_configuration_sent_bytes_total", func() float64 { return float64(i.Routing.Transfers().SentBytes) })
+	i.metrics.Gauge("knapweedwell_configuration_received_bytes_total", func() float64 { return float64(i.Routing.Transfers().ReceivedBytes) })
+	i.metrics.Gauge("knapweedwell_configuration_fetches_total", func() float64 { return float64(i.Routing.Transfers().Fetched) })
+	i.metrics.Gauge("knapweedwell_configuration_fetch_failures_total", func() float64 { return float64(i.Routing.Transfers().Failed) })
 	i.metrics.Gauge("knapweedwell_datagrams_sent_total", func() float64 { return float64(i.Exchange.Counts().Sent) })
 	i.metrics.Gauge("knapweedwell_datagrams_received_total", func() float64 { return float64(i.Exchange.Counts().Received) })
 	i.metrics.Gauge("knapweedwell_datagram_bytes_sent_total", func() float64 { return float64(i.Exchange.Counts().SentBytes) })
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -93,6 +93,12 @@
 	r.set.GetOrCreateHistogram(fmt.Sprintf(`knapweedwell_%s_seconds{%s=%q}`, name, label, value)).Update(d.Seconds())
 }
 
+// ObserveConfigurationAge records how long ago the first instance had a version of the
+// configuration that has come into force here.
+func (r *Registry) ObserveConfigurationAge(d time.Duration) {
+	r.set.GetOrCreateHistogram("knapweedwell_configuration_age_seconds").Update(d.Seconds())
+}
+
 // ObserveCutOff counts a request whose connection ends without a whole answer.
 func (r *Registry) ObserveCutOff(cause string) {
 	r.set.GetOrCreateCounter(fmt.Sprintf(`knapweedwell_cut_off_total{cause=%q}`, cause)).Inc()
--- a/routing/manager.go
+++ b/routing/manager.go
@@ -18,12 +18,14 @@
 	"knapweedwell/peer"
 	"knapweedwell/platform"
 	"knapweedwell/route"
+	"knapweedwell/transfer"
 )
 
 const (
-	fetchMethod  = "Routing.Fetch"
-	fetchTimeout = 1500 * time.Millisecond
-	fetchDelay   = 200 * time.Millisecond // time for the watch to deliver a table before a peer is asked
+	transferName = "Routing"
+	// fetchMethod is the method for the whole table. Instances of earlier builds use it.
+	fetchMethod = "Routing.Fetch"
+	fetchDelay  = 200 * time.Millisecond // time for the watch to deliver a table before a peer is asked
 
 	// maxStartDelay bounds the random delay of the first list, so that instances
 	// that start together do not call the store at the same time.
@@ -41,20 +43,26 @@
 	// Deadline is the time in which a change in the store must be in force; zero if
 	// there is none.
 	Deadline time.Duration
-	// OnTable is called with each new table; may be nil.
-	OnTable func(*route.Table)
+	// OnTable is called with each new table and the time since the first instance had it;
+	// may be nil.
+	OnTable func(t *route.Table, age time.Duration)
 
 	current  atomic.Pointer[route.Table]
 	mu       sync.Mutex
-	source   platform.Object // object from which the table was read
 	follower *follow.Follower
-	fetcher  follow.PeerFetcher
+	transfer transfer.Service
 }
 
-// Prepare registers the handler of Routing.Fetch. It is called before the peer
-// node runs.
+// Prepare registers the handlers of the methods by which peers fetch the table. It is
+// called before the peer node runs.
 func (m *Manager) Prepare() {
-	m.fetcher = follow.PeerFetcher{Delay: fetchDelay, Timeout: fetchTimeout}
+	m.transfer = transfer.Service{
+		Name: transferName, Peers: m.Peers, Delay: fetchDelay, Apply: m.applyFetched, FetchWhole: m.fetchWhole, Log: m.Log,
+		Call: func(ctx context.Context, address, method string, params, result any) error {
+			return follow.CallPeer(ctx, m.Peers, address, method, params, result)
+		},
+	}
+	m.transfer.Prepare()
 	m.Peers.Handle(fetchMethod, m.serveFetch)
 }
 
@@ -68,13 +76,13 @@
 		Deadline: m.Deadline,
 		OnList: func(l platform.Listing) {
 			for _, o := range l.Objects {
-				m.apply(o, "store")
+				m.apply(o, time.Now(), "store")
 			}
 		},
 		OnChange: func(c platform.Changes) {
 			for _, e := range c.Events {
 				if !e.Removed {
-					m.apply(e.Object, "store")
+					m.apply(e.Object, time.Now(), "store")
 				}
 			}
 		},
@@ -86,7 +94,7 @@
 // Close stops following the store.
 func (m *Manager) Close() error {
 	err := m.follower.Close()
-	m.fetcher.Close()
+	_ = m.transfer.Close()
 	return err
 }
 
@@ -103,69 +111,83 @@
 	return 0
 }
 
+// Transfers returns the numbers of bytes and fetches of tables between instances.
+func (m *Manager) Transfers() transfer.Counts {
+	return m.transfer.Counts()
+}
+
 // LastAnswer returns the time at which the store last answered, zero if it never
 // did.
 func (m *Manager) LastAnswer() time.Time {
 	return m.follower.LastAnswer()
 }
 
-// apply puts a table in force if it has a higher version than the current one. It
-// logs an error if the object holds no valid table.
-func (m *Manager) apply(o platform.Object, from string) {
+// apply puts a table in force if it has a higher version than the current one. The first
+// instance had it at the time since. If the object holds no valid table, apply logs an
+// error and reports false.
+func (m *Manager) apply(o platform.Object, since time.Time, from string) bool {
 	if o.Name != platform.ConfigurationName {
-		return
+		return true
 	}
 	t, err := platform.DecodeTable(o)
 	if err != nil {
 		m.Log.WithFields(logrus.Fields{"Revision": o.Revision, "From": from, "Error": err.Error()}).Error("configuration is not sound and not taken")
-		return
+		return false
 	}
 	m.mu.Lock()
 	old := m.Version()
 	if t.Version <= old {
 		m.mu.Unlock()
-		return
+		return true
 	}
 	m.current.Store(t)
-	m.source = o
+	m.transfer.Set(transfer.Value{Version: t.Version, Revision: o.Revision, Data: o.Value, Since: since})
 	m.mu.Unlock()
+	age := time.Since(since)
 	m.Check.Check(invariant.RevisionNeverFalls, t.Version > old, "version %d follows %d", t.Version, old)
-	m.Log.WithFields(logrus.Fields{"Version": t.Version, "Before": old, "Revision": t.Revision, "Routes": len(t.Routes), "From": from}).Info("configuration is in force")
+	m.Log.WithFields(logrus.Fields{
+		"Version": t.Version, "Before": old, "Revision": t.Revision, "Routes": len(t.Routes), "From": from, "AgeMillis": age.Milliseconds(),
+	}).Info("configuration is in force")
 	if m.OnTable != nil {
-		m.OnTable(t)
+		m.OnTable(t, age)
 	}
+	return true
+}
+
+// applyFetched applies the value of a peer.
+func (m *Manager) applyFetched(v transfer.Value, from string) bool {
+	o := platform.Object{Kind: platform.ConfigurationKind, Name: platform.ConfigurationName, Revision: v.Revision, Value: v.Data}
+	return m.apply(o, v.Since, from)
 }
 
 // FetchNewer fetches the table from the peer at the address, which has the
 // given newer version, unless the watch delivers it first.
 func (m *Manager) FetchNewer(address string, version int64) {
 	waitForWatch := m.Current() != nil && !m.follower.StoreUnreachable() && !m.follower.Idle()
-	m.fetcher.Fetch(waitForWatch, func() bool { return version > m.Version() }, func(ctx context.Context) { m.fetch(ctx, address, version) })
+	m.transfer.Hint(address, version, waitForWatch)
 }
 
-// fetchReply is a peer's answer to a fetch.
+// fetchReply is the answer to a fetch of the whole table.
 type fetchReply struct {
 	Name     string
 	Revision int64
 	Value    json.RawMessage
 }
 
-// fetch gets the table of the peer at the address and applies it.
-func (m *Manager) fetch(ctx context.Context, address string, version int64) {
+// fetchWhole gets the table of a peer of an earlier build.
+func (m *Manager) fetchWhole(ctx context.Context, address string) (transfer.Value, error) {
 	var f fetchReply
 	if err := follow.CallPeer(ctx, m.Peers, address, fetchMethod, nil, &f); err != nil {
-		m.Log.WithFields(logrus.Fields{"Peer": address, "Version": version, "Error": err.Error()}).Warn("configuration was not fetched from a peer")
-		return
+		return transfer.Value{}, err
 	}
-	m.apply(platform.Object{Kind: platform.ConfigurationKind, Name: f.Name, Revision: f.Revision, Value: f.Value}, address)
+	return transfer.Value{Revision: f.Revision, Data: f.Value}, nil
 }
 
-// serveFetch answers a peer with the object of the table in force.
+// serveFetch answers a peer of an earlier build with the object of the table in force.
 func (m *Manager) serveFetch(context.Context, string, json.RawMessage) (any, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.source.Value == nil {
+	v := m.transfer.Current()
+	if v.Data == nil {
 		return fetchReply{}, nil
 	}
-	return fetchReply{Name: m.source.Name, Revision: m.source.Revision, Value: m.source.Value}, nil
+	return fetchReply{Name: platform.ConfigurationName, Revision: v.Revision, Value: v.Data}, nil
 }
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -115,24 +115,24 @@
 // routeSimulation is a fleet of instances that serve routes, with the store,
 // the upstreams and the network that it uses.
 type routeSimulation struct {
-	t             *testing.T
-	network       *network
-	packets       *packetNetwork
-	store         *platform.Server
-	log           logrus.FieldLogger
-	checker       *invariant.Checker
-	instances     []*edge.Instance
-	runners       map[string]*runner.Runner
-	hosts         map[string]string
-	servers       []*http.Server
-	rawListeners  []net.Listener // of upstreams that a test serves itself
-	routesVersion int64
-	apiKeys       []string
-	urgentRoute   bool     // adds a route with a higher priority than the others
-	services      []string // backends of the routes without a model
+	t              *testing.T
+	network        *network
+	packets        *packetNetwork
+	store          *platform.Server
+	log            logrus.FieldLogger
+	checker        *invariant.Checker
+	instances      []*edge.Instance
+	runners        map[string]*runner.Runner
+	hosts          map[string]string
+	servers        []*http.Server
+	rawListeners   []net.Listener // of upstreams that a test serves itself
+	routesVersion  int64
+	apiKeys        []string
+	urgentRoute    bool          // adds a route with a higher priority than the others
+	services       []string      // backends of the routes without a model
 	changeDeadline time.Duration // setting of the instances
-	addedRoutes   int      // routes beyond those that the tests call
-	zones         []string // availability zones of the instances by turns
+	addedRoutes    int           // routes beyond those that the tests call
+	zones          []string      // availability zones of the instances by turns
 }
 
 // simulateRoutes runs a case with n instances on a virtual clock.
