List again when an instance follows the store after a pause

Cause: an instance that becomes Alert watched from the revision of its last call, so the store sent it every version since, each a whole table; beyond the limit of bytes it made no progress at all.

Change: it lists, and so reads the newest version only; after an answer that is too large, too.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -69,6 +69,10 @@
 	synced      int64     // revision up to which all changes are known
 	outageStart time.Time // when the store stopped answering; zero while it answers
 	group       background.Group
+
+	// behind is set if the changes since synced may be many: a list is shorter. Only loop
+	// uses it.
+	behind bool
 }
 
 // Run starts following the store.
@@ -127,6 +131,10 @@
 			f.recordAnswer(0)
 			f.Log.WithField("Kind", f.Kind).Info("the store no longer has the history; listing again")
 			continue
+		case errors.Is(err, platform.ErrTooLarge) && !f.behind:
+			f.behind = true
+			f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "Error": err.Error()}).Warn("the changes are too many; listing again")
+			continue
 		case ctx.Err() != nil:
 			return
 		}
@@ -142,19 +150,21 @@
 	}
 }
 
-// listOrWatch lists the objects if no revision is known yet, and watches for
-// changes otherwise.
+// listOrWatch lists the objects if no revision is known yet or changes may have been
+// missed for long, and watches for changes otherwise.
 func (f *Follower) listOrWatch(ctx context.Context) error {
 	after := f.Synced()
 	if after != 0 && f.Idle() {
+		f.behind = true
 		sleep(ctx, rolePollPeriod)
 		return nil
 	}
-	if after == 0 {
+	if after == 0 || f.behind {
 		l, err := f.Platform.List(ctx, f.Kind)
 		if err != nil {
 			return err
 		}
+		f.behind = false
 		f.recordAnswer(l.Revision)
 		f.OnList(l)
 		return nil
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,109 @@
+package follow
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"knapweedwell/platform"
+	store "knapweedwell/standin/platform"
+)
+
+// recorder records what a follower delivers.
+type recorder struct {
+	mu       sync.Mutex
+	lists    int
+	versions []string // values of the objects, in the order in which they were delivered
+}
+
+func (r *recorder) record(o platform.Object) {
+	r.versions = append(r.versions, string(o.Value))
+}
+
+func (r *recorder) last() (lists int, versions []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lists, r.versions
+}
+
+// startFollower starts a follower of the kind config whose role is alert or idle.
+func startFollower(t *testing.T, s *store.Server, alert *atomic.Bool) (*Follower, *recorder) {
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	client := platform.New(strings.TrimPrefix(server.URL, "http://"), (&net.Dialer{}).DialContext)
+	t.Cleanup(func() { _ = client.Close() })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recorder{}
+	f := &Follower{Platform: client, Kind: "config", Log: log, Deadline: time.Second}
+	f.Role = func() Role {
+		if alert.Load() {
+			return Alert
+		}
+		return Idle
+	}
+	f.OnList = func(l platform.Listing) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.lists++
+		for _, o := range l.Objects {
+			r.record(o)
+		}
+	}
+	f.OnChange = func(c platform.Changes) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, e := range c.Events {
+			r.record(e.Object)
+		}
+	}
+	assert.NilError(t, f.Run(nil))
+	t.Cleanup(func() { _ = f.Close() })
+	return f, r
+}
+
+// TestLateFollowerReadsNewest guards against an instance that follows the store again and
+// is sent every version since its first list.
+func TestLateFollowerReadsNewest(t *testing.T) {
+	s := store.New()
+	put := func(version int) { s.Put("config", "main", map[string]int{"version": version}) }
+	put(0)
+	var alert atomic.Bool
+	alert.Store(true)
+	_, r := startFollower(t, s, &alert)
+	put(1)
+	waitFor(t, r, 1)
+	alert.Store(false)
+	time.Sleep(time.Second) // a watch may still be waiting
+	for version := range 20 {
+		put(version + 2)
+	}
+	_, before := r.last()
+	alert.Store(true)
+	waitFor(t, r, 21)
+	_, after := r.last()
+	assert.Assert(t, len(after)-len(before) <= 2, "%d versions were delivered, expected the newest: %v", len(after)-len(before), after)
+}
+
+// waitFor waits until the version was delivered.
+func waitFor(t *testing.T, r *recorder, version int) {
+	t.Helper()
+	want, err := json.Marshal(map[string]int{"version": version})
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, versions := r.last(); len(versions) > 0 && versions[len(versions)-1] == string(want) {
+			return poll.Success()
+		}
+		return poll.Continue("version %d was not delivered", version)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
