Take no answer of the store that is older than what a peer has sent

What callers would see: requests at an upstream that had begun to leave or was gone. Cause: a list or a watch that the store had answered before a peer's newer changes were applied was taken as the newer one and put the old entries back, with a higher mark, so that the other instances fetched them, too. Change: the roster keeps the revision of the store up to which it holds all changes, tells it to peers, and passes over answers of an earlier one. Ruled out: comparing marks, which also count changes that the store does not know.

TestOutdatedListChangesNothing failed before ("accepted: a, b").

--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -33,7 +33,10 @@
 	departures map[string]departure
 	// mark rises with each change. It is the revision of the store, shifted by
 	// localMarkBits, plus the number of local changes since that revision.
-	mark          int64
+	mark int64
+	// revision is that of the store up to which the list holds all changes; zero if that is
+	// not known.
+	revision      int64
 	retainUntil   time.Time // end of the retention period
 	changes       []change  // most recent changes, the oldest first
 	completeAfter int64     // mark after which changes is complete
@@ -55,8 +58,18 @@
 	l.retainUntil = now.Add(RetainTime)
 }
 
-// replaceAll applies a complete list. It reports whether anything changed.
+// outdated reports whether the list holds changes after a revision of the store, which a
+// peer has sent before the store's answer was read.
+func (l *entryList) outdated(revision int64) bool {
+	return revision < l.revision
+}
+
+// replaceAll applies a complete list unless it is outdated. It reports whether anything
+// changed.
 func (l *entryList) replaceAll(now time.Time, revision int64, entries []*route.Upstream) bool {
+	if l.outdated(revision) {
+		return false
+	}
 	return l.commit(revision, l.reconcile(now, entries))
 }
 
@@ -115,12 +128,14 @@
 		}
 	}
 	l.setMark(f.Mark)
+	l.revision = max(l.revision, f.Revision)
 	return true
 }
 
 // commit sets the mark of the changes since the last call, if there are any. It
 // returns changed.
 func (l *entryList) commit(revision int64, changed bool) bool {
+	l.revision = max(l.revision, revision)
 	if changed {
 		l.setMark(max(revision<<localMarkBits, l.mark+1))
 	}
--- a/roster/entrylist_test.go
+++ b/roster/entrylist_test.go
@@ -131,3 +131,19 @@
 		assert.Equal(t, len(l.snapshot().Pool("p")), c.later, "%d listed, after the retention period", c.listed)
 	}
 }
+
+// TestOutdatedListChangesNothing guards against an answer of the store that is read after a
+// peer has sent newer changes, and that puts upstreams back which leave or are gone.
+func TestOutdatedListChangesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newEntryList()
+	l.replaceAll(now, 5, []*route.Upstream{entry("a", false), entry("b", false)})
+	assert.Assert(t, l.applyFetched(fetchReply{
+		Mark: 9 << localMarkBits, Revision: 9, Whole: true, Entries: []route.Upstream{*entry("a", true), *entry("c", false)},
+	}))
+	l.replaceAll(now, 7, []*route.Upstream{entry("a", false), entry("b", false)})
+	r := l.snapshot()
+	assert.Assert(t, !r.Accepts("a") && !r.Accepts("b") && r.Accepts("c"), "accepted: %v", r.Pool("p"))
+	l.replaceAll(now, 9, []*route.Upstream{entry("a", true)})
+	assert.Assert(t, !l.snapshot().Accepts("c"))
+}
--- a/roster/service.go
+++ b/roster/service.go
@@ -149,6 +149,9 @@
 
 func (s *Service) applyChanges(c platform.Changes) {
 	s.update(false, func(l *entryList) bool {
+		if l.outdated(c.Revision) {
+			return false
+		}
 		changed := false
 		var gone []string
 		for _, ev := range c.Events {
@@ -199,10 +202,11 @@
 
 // fetchReply is a peer's answer to a fetchRequest.
 type fetchReply struct {
-	Mark    int64
-	Whole   bool // Entries are all entries of the peer, not only the changed ones
-	Entries []route.Upstream
-	Removed []string
+	Mark     int64
+	Revision int64 // of the store up to which the peer has all changes; zero from earlier builds
+	Whole    bool  // Entries are all entries of the peer, not only the changed ones
+	Entries  []route.Upstream
+	Removed  []string
 }
 
 func (s *Service) fetch(ctx context.Context, address string) {
@@ -221,7 +225,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := fetchReply{Mark: s.list.mark}
+	f := fetchReply{Mark: s.list.mark, Revision: s.list.revision}
 	entries, removed, ok := s.list.changesAfter(req.After)
 	if ok {
 		f.Entries, f.Removed = entries, removed
