--- a/simulation/network_test.go
+++ b/simulation/network_test.go
@@ -317,12 +317,16 @@
 	h.notify()
 }
 
-// append adds the data of one write in packets, which arrive one after the other if a
-// link is thin. The caller holds h.mu.
+// append adds the data of one write, on thin links in packets that arrive one after the
+// other. The caller holds h.mu.
 func (h *halfConn) append(p []byte, latency time.Duration) {
 	h.buffered += len(p)
+	size := len(p)
+	if h.network.isThin(h.from, h.to) {
+		size = maxPacketBytes
+	}
 	for len(p) > 0 {
-		packet := p[:min(len(p), maxPacketBytes)]
+		packet := p[:min(len(p), size)]
 		p = p[len(packet):]
 		h.chunks = append(h.chunks, chunk{append([]byte(nil), packet...), h.network.transmit(h.from, h.to, len(packet)).Add(latency)})
 	}
