Drop no connection to a peer over which bytes arrive

A thin link or a peer that is slow was taken for a silent connection.

Change: the connection is silent if not a byte was received over it for 0.4 s. Ruled out: a longer limit (a connection that has become silent in a cut would cost more of the time in which a change must be known; TestStalledPeerConnections holds).

TestSlowAnswerIsNotAskedForAgain failed before: the peer answered twice.

--- a/follow/peerfetcher.go
+++ b/follow/peerfetcher.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"knapweedwell/background"
 	"knapweedwell/peer"
 )
@@ -50,23 +52,45 @@
 	f.fetching = false
 }
 
-// firstTryTimeout bounds a call over a connection that is open already. It may have
-// become silent, for instance in a cut, and a new one works.
-const firstTryTimeout = 400 * time.Millisecond
+// silenceTimeout is the time without a byte from a peer after which its connection may have
+// become silent, for instance in a cut.
+const silenceTimeout = 400 * time.Millisecond
 
-// CallPeer calls a method of a peer. If there is no answer within firstTryTimeout it
-// drops the connection and calls again over a new one.
+// CallPeer calls a method of a peer. If nothing is received over the connection for
+// silenceTimeout, CallPeer drops it and calls once more over a new one.
 func CallPeer(ctx context.Context, peers *peer.Node, address, method string, params, result any) error {
-	first, cancel := context.WithTimeout(ctx, firstTryTimeout)
-	defer cancel()
-	err := peers.Call(first, address, method, params, result)
-	if err == nil || first.Err() == nil || ctx.Err() != nil {
+	err := callUnlessSilent(ctx, peers, address, method, params, result)
+	if !errors.Is(err, errSilent) {
 		return err
 	}
 	peers.Drop(address)
 	return peers.Call(ctx, address, method, params, result)
 }
 
+var errSilent = errors.New("nothing is received from the peer")
+
+// callUnlessSilent calls a method of a peer. It returns errSilent if nothing was received
+// from the peer for silenceTimeout.
+func callUnlessSilent(ctx context.Context, peers *peer.Node, address, method string, params, result any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var group background.Group
+	received := peers.ReceivedFrom(address)
+	group.Every(silenceTimeout, func(context.Context, time.Time) {
+		now := peers.ReceivedFrom(address)
+		if now == received {
+			cancel(errSilent)
+		}
+		received = now
+	})
+	err := peers.Call(ctx, address, method, params, result)
+	group.Close()
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return errSilent
+	}
+	return err
+}
+
 // Close cancels a running fetch and waits for it to return.
 func (f *PeerFetcher) Close() {
 	f.group.Close()
--- a/peer/node.go
+++ b/peer/node.go
@@ -55,8 +55,8 @@
 
 	mu       sync.Mutex
 	handlers map[string]Handler
-	conns    map[string]*jsonrpc2.Conn // by peer address
-	open     map[*jsonrpc2.Conn]bool   // all open connections
+	conns    map[string]*jsonrpc2.Conn       // by peer address
+	open     map[*jsonrpc2.Conn]*countedConn // all open connections
 	dials    singleflight.Group
 	listener net.Listener
 	ctx      context.Context
@@ -91,7 +91,7 @@
 		n.Address = l.Addr().String()
 	}
 	n.conns = map[string]*jsonrpc2.Conn{}
-	n.open = map[*jsonrpc2.Conn]bool{}
+	n.open = map[*jsonrpc2.Conn]*countedConn{}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.wg.Add(1)
 	go n.accept()
@@ -137,7 +137,8 @@
 func (n *Node) serve(c net.Conn, address string) *jsonrpc2.Conn {
 	ctx, cancel := context.WithCancel(n.ctx)
 	s := &session{node: n, address: address, trusted: address != "", cancel: cancel}
-	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: c, node: n}, frameCodec{})
+	s.raw = &countedConn{Conn: c, node: n}
+	stream := jsonrpc2.NewBufferedStream(s.raw, frameCodec{})
 	// The lock keeps Hello from being handled before the session is complete.
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,7 +150,7 @@
 func (n *Node) addSession(s *session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.open[s.conn] = true
+	n.open[s.conn] = s.raw
 	n.wg.Add(1)
 	go n.removeOnDisconnect(s)
 }
@@ -256,6 +257,17 @@
 	return errors.Wrapf(c.Notify(ctx, method, params), "notify %s of %s", method, address)
 }
 
+// ReceivedFrom returns the number of bytes received over the connection that is used for
+// calls to the peer at the address, zero if there is none.
+func (n *Node) ReceivedFrom(address string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if raw := n.open[n.conns[address]]; raw != nil {
+		return raw.received.Load()
+	}
+	return 0
+}
+
 // Drop closes the connection to a peer that no longer answers.
 func (n *Node) Drop(address string) {
 	n.mu.Lock()
@@ -281,6 +293,7 @@
 // session is the state of one connection.
 type session struct {
 	node   *Node
+	raw    *countedConn
 	cancel context.CancelFunc // ends the handlers once the connection is closed
 
 	mu      sync.Mutex
@@ -356,7 +369,7 @@
 func (n *Node) useForCalls(address string, c *jsonrpc2.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.open[c] && n.conns[address] == nil {
+	if n.open[c] != nil && n.conns[address] == nil {
 		n.conns[address] = c
 	}
 }
@@ -364,13 +377,15 @@
 // countedConn counts the bytes of a connection.
 type countedConn struct {
 	net.Conn
-	node *Node
+	node     *Node
+	received atomic.Int64
 }
 
 // Read counts the bytes read.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.node.received.Add(int64(n))
+	c.received.Add(int64(n))
 	return n, err
 }
 
