Keep the requests to an upstream within the limit that it names

What callers saw: nothing; upstreams in need got up to twice the requests that Server-Limit allows. Cause: the header was not read.

Change: package ratelimit, used by forward before each choice and each send, so that first sends, retries, resumed streams and trials count alike. The upstream is used by at most as many instances as its limit in requests a second, the same ones in all views; each has its part in a bucket of one request. The limit travels between instances as facts of a kind that earlier builds skip, with its age; it ends with two answers that no longer name it, with the incarnation, or 30 s after the last answer of any kind.

Weighed: 1/n for each instance (unusable with 300 instances and 3 requests a second), shares by reported demand (demand moves to other upstreams as soon as one is limited, and reports are a second old), leases in the store (calls on the path of requests).

TestNamedLimitHoldsAcrossInstances failed before (81 requests in 4 s where 23 are allowed). TestLimitAcrossInstances checks the bound for 1 to 680 instances.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"knapweedwell/peer"
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
+	"knapweedwell/ratelimit"
 	"knapweedwell/roster"
 	"knapweedwell/route"
 	"knapweedwell/routing"
@@ -55,6 +56,7 @@
 	Roster     *roster.Service
 	Exchange   *exchange.Service
 	Quarantine *quarantine.Quarantine
+	Limits     *ratelimit.Limits
 	Verdicts   *verdictstore.Service
 	Forward    *forward.Server
 	Directory  *directory
@@ -80,6 +82,7 @@
 	i.Quarantine = &quarantine.Quarantine{Log: i.Log}
 	i.picker = balancer.New(i.Settings.Zone, i.Settings.Routes.Zones)
 	i.buildMembership()
+	i.Limits = &ratelimit.Limits{Self: i.Settings.Name, Regions: i.Settings.Routes.Zones, Members: i.Heartbeats.Members, Log: i.Log}
 	i.buildState()
 	i.buildServers()
 	i.kernel.Add("peer", i.Peers)
@@ -163,8 +166,9 @@
 			i.Routing.FetchNewer(address, version)
 			i.Roster.FetchNewer(address, rosterMark)
 		},
-		Facts: i.Quarantine,
-		Log:   i.Log,
+		Facts:  i.Quarantine,
+		Limits: i.Limits,
+		Log:    i.Log,
 	}
 	i.Exchange.Prepare()
 	i.Verdicts = &verdictstore.Service{
@@ -214,6 +218,7 @@
 		Connections:      i.connections,
 		Budget:           &budget.Budget{Ratio: r.RetryRatio, Window: r.RetryWindow, Slack: r.RetrySlack, Instances: i.instances},
 		Quarantine:       i.Quarantine,
+		Limits:           i.Limits,
 		Metrics:          i.metrics,
 		Check:            i.Check,
 		Log:              i.Log,
@@ -235,6 +240,7 @@
 	i.metrics.Gauge("knapweedwell_datagram_bytes_sent_total", func() float64 { return float64(i.Exchange.Counts().SentBytes) })
 	i.metrics.Gauge("knapweedwell_quarantined_parts", func() float64 { return float64(len(i.Quarantine.Verdicts(time.Now()))) })
 	i.metrics.Gauge("knapweedwell_quarantine_refusals_total", func() float64 { return float64(i.Quarantine.Refusals()) })
+	i.metrics.Gauge("knapweedwell_limited_upstreams", func() float64 { return float64(i.Limits.Limited()) })
 	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
 	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
 		dialed, _ := i.connections.Counts()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -91,7 +91,8 @@
 	FetchMembers func(peerAddress string)
 	// OnReport is called with the version and the roster mark that a peer reports.
 	OnReport func(peerAddress string, version, rosterMark int64)
-	Facts    Facts // facts about prompt parts; nil if they are not shared
+	Facts    Facts  // facts about prompt parts; nil if they are not shared
+	Limits   Limits // limits of upstreams; nil if they are not shared
 	Log      logrus.FieldLogger
 
 	conn       net.PacketConn
@@ -109,6 +110,7 @@
 	fleet      aggregation
 	logged     beliefs // as in the most recent round
 	sharing    *sharing
+	limits     limitSharing
 	refreshing atomic.Bool // whether facts are being fetched again
 	sent       atomic.Int64
 	received   atomic.Int64
@@ -169,6 +171,7 @@
 	s.logChanges(plan)
 	s.checkFacts(now)
 	s.roundFacts(now, plan, round)
+	s.roundLimits(now, plan, round)
 	reports, placements := s.Picker.Reports(now)
 	s.mu.Lock()
 	s.own.add(placements)
--- a/exchange/facts.go
+++ b/exchange/facts.go
@@ -364,7 +364,11 @@
 		return err
 	}
 	from, known := s.Member(m.Sender)
-	if !known || from.Name == s.Self || s.Facts == nil || s.suspendedRecently(now) {
+	if !known || from.Name == s.Self || s.suspendedRecently(now) {
+		return nil
+	}
+	s.applyLimits(now, m.Limits)
+	if s.Facts == nil {
 		return nil
 	}
 	s.applyFacts(now, m.Facts)
--- a/exchange/factscodec.go
+++ b/exchange/factscodec.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"knapweedwell/quarantine"
+	"knapweedwell/ratelimit"
 )
 
 // factsFormat is the format of the datagrams that carry facts about prompt parts.
@@ -18,6 +20,7 @@
 	answeredKind   = 2
 	convictedKind  = 3
 	releasedKind   = 4
+	limitKind      = 5 // what an upstream's answer said of its limit
 )
 
 const (
@@ -25,6 +28,7 @@
 	maxFactAge = 24 * time.Hour
 	maxPlace   = 1 << 10 // places in a prompt
 	maxCrashes = 1 << 20 // crashes of one verdict
+	rateUnit   = 1e-3    // requests a second
 )
 
 // comparison is the step of a comparison of facts that a message is. It begins with the
@@ -47,6 +51,9 @@
 	Digest  uint64   // of all facts of the sender
 	Has     []uint16 // fingerprints of all facts of the sender, with the digest
 	Facts   []quarantine.Fact
+	// Limits name upstreams by their hashes once they are decoded. They are no part of the
+	// digest.
+	Limits []ratelimit.Evidence
 }
 
 // encodeFacts encodes a message.
@@ -61,6 +68,9 @@
 		b = binary.LittleEndian.AppendUint16(b, h)
 	}
 	items := factItems(now, m.Facts[:min(len(m.Facts), maxFacts)])
+	for _, e := range m.Limits {
+		items = append(items, factItem{kind: limitKind, data: appendLimit(now, e)})
+	}
 	b = binary.AppendUvarint(b, uint64(len(items)))
 	for _, item := range items {
 		b = append(b, item.kind)
@@ -123,6 +133,25 @@
 	return appendMillis(binary.AppendUvarint(nil, part), now.Sub(at))
 }
 
+// appendLimit encodes what an upstream's answer said of its limit.
+func appendLimit(now time.Time, e ratelimit.Evidence) []byte {
+	b := append([]byte(nil), upstreamHash(e.Upstream)...)
+	b = binary.AppendUvarint(b, uint64(max(e.Born, 0)))
+	b = appendMillis(b, now.Sub(e.At))
+	b = append(b, boolByte(e.Named))
+	return binary.AppendUvarint(b, uint64(math.Round(e.Rate/rateUnit)))
+}
+
+// limit reads what appendLimit encodes. The upstream is a hash.
+func (r *reader) limit(now time.Time) ratelimit.Evidence {
+	e := ratelimit.Evidence{Upstream: string(r.bytes(hashBytes))}
+	e.Born = int64(r.uvarint() & math.MaxInt64)
+	e.At = now.Add(-r.millis())
+	e.Named = r.bytes(1)[0] != 0
+	e.Rate = float64(r.count(maxCount)) * rateUnit
+	return e
+}
+
 // appendMillis encodes a time span in milliseconds, from zero to maxFactAge.
 func appendMillis(b []byte, d time.Duration) []byte {
 	return binary.AppendUvarint(b, uint64(min(max(d, 0), maxFactAge).Milliseconds()))
@@ -142,7 +171,11 @@
 	for range r.count(maxFacts) {
 		kind := r.bytes(1)[0]
 		item := &reader{data: r.bytes(r.count(len(r.data)))}
-		m.Facts = append(m.Facts, item.facts(now, kind)...)
+		if kind == limitKind {
+			m.Limits = append(m.Limits, item.limit(now))
+		} else {
+			m.Facts = append(m.Facts, item.facts(now, kind)...)
+		}
 		r.malformed = r.malformed || item.malformed
 	}
 	if r.malformed || len(r.data) > 0 || len(m.Facts) > maxFacts {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,6 +27,7 @@
 	"knapweedwell/metric"
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
+	"knapweedwell/ratelimit"
 	"knapweedwell/roster"
 	"knapweedwell/route"
 	"knapweedwell/webserver"
@@ -52,6 +53,7 @@
 	Connections      *httpwire.ConnPool
 	Budget           *budget.Budget
 	Quarantine       *quarantine.Quarantine
+	Limits           *ratelimit.Limits
 	Metrics          *metric.Registry
 	Check            *invariant.Checker
 	Log              logrus.FieldLogger
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -89,9 +89,17 @@
 		c, ok := rs.s.Picker.Choose(time.Now(), rs.s.Roster().Pool(name), r)
 		if ok {
 			rs.choice = c
+			if f := rs.refuseOverload(); f != nil {
+				return f
+			}
+			if !rs.s.Limits.Take(time.Now(), c.Upstream, rs.rank) {
+				continue // another request was faster
+			}
 		}
 		switch {
 		case ok && (rs.sends == 0 || rs.takeRetry()):
+		case !ok && rs.waitForLimit(ctx):
+			continue
 		case rs.waitToResume(ctx):
 			continue
 		case !ok:
@@ -99,9 +107,6 @@
 		default:
 			return rs.giveUp("the retry budget is spent")
 		}
-		if f := rs.refuseOverload(); f != nil {
-			return f
-		}
 		if f, done := rs.handleResult(ctx, rs.send(ctx, r, c)); done {
 			return f
 		}
@@ -112,7 +117,7 @@
 func (rs *requestState) pickRequest() balancer.Request {
 	return balancer.Request{
 		Pool: rs.pool, Rank: rs.rank, LowestRank: rs.table.LowestRank(rs.pool.Name), Prompt: &rs.headers.Prompt,
-		GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, rs.pool.Name), Avoid: rs.avoid,
+		GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, rs.pool.Name), Avoid: rs.avoidNow(time.Now()),
 	}
 }
 
@@ -192,12 +197,17 @@
 }
 
 // retryAfter returns the time after which a request that no upstream ran may be
-// sent again: the end of the first pause if all upstreams of the pool have asked for one.
+// sent again: the end of the first pause if all upstreams of the pool have asked for one, or
+// the time at which a limit lets it pass.
 func (rs *requestState) retryAfter() time.Duration {
 	left, ok := rs.s.Picker.PauseLeft(time.Now(), rs.s.Roster().Pool(rs.pool.Name))
 	if ok {
 		return left
 	}
+	left, ok = rs.limitLeft(time.Now())
+	if ok {
+		return max(left, notRunRetryAfter)
+	}
 	return notRunRetryAfter
 }
 
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -12,7 +12,7 @@
 // reserveRetry reports whether the request can be sent to another upstream than the
 // chosen one, and if so takes the retry from the budget.
 func (rs *requestState) reserveRetry(now time.Time) bool {
-	avoid := maps.Clone(rs.avoid)
+	avoid := maps.Clone(rs.avoidNow(now))
 	avoid[rs.choice.Upstream.ID] = true
 	if !rs.s.Picker.HasUpstream(now, rs.s.Roster().Pool(rs.pool.Name), avoid) {
 		return false
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -178,12 +179,22 @@
 	if headers.RetryAfter > 0 && t.attempt.Pause(time.Now(), headers.RetryAfter) {
 		t.rs.logPause(headers.RetryAfter)
 	}
+	t.observeLimit(headers)
 	if headers.Leaving {
 		t.keep = false
 		t.rs.recordDeparture()
 	}
 }
 
+// observeLimit records the limit that the upstream names, or that it names none. The answer
+// to a misdirected request is that of another upstream.
+func (t *transfer) observeLimit(headers platform.AnswerHeaders) {
+	if math.IsNaN(headers.Limit) || t.resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	t.rs.s.Limits.Observe(time.Now(), t.rs.choice.Upstream, headers.HasLimit, headers.Limit)
+}
+
 // relayAnswer checks and relays the answer of an upstream that ran the request.
 func (t *transfer) relayAnswer(headers platform.AnswerHeaders) result {
 	status := t.resp.StatusCode
--- /dev/null
+++ b/ratelimit/ratelimit.go
@@ -0,0 +1,374 @@
+package ratelimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"knapweedwell/member"
+	"knapweedwell/route"
+)
+
+const (
+	minRate = 0.1 // requests a second at a limit of zero
+	maxRate = 1e6 // requests a second that count as no limit
+	// endAnswers is the number of answers without a limit in a row that end it.
+	endAnswers = 2
+	// lifetime is the time without an answer of an upstream to any instance after which its
+	// limit is forgotten.
+	lifetime = 30 * time.Second
+	// memberPeriod is the time between checks whether the members have changed.
+	memberPeriod = 200 * time.Millisecond
+	// timeTolerance is by how much the time of evidence may grow between instances.
+	timeTolerance = 250 * time.Millisecond
+	rankCount     = 10 // a less urgent rank counts as the last
+)
+
+// Evidence is what an upstream's answer said of its limit.
+type Evidence struct {
+	Upstream string
+	Born     int64 // start of the incarnation in Unix milliseconds
+	Named    bool  // false if answers no longer name a limit
+	Rate     float64
+	At       time.Time
+}
+
+// limit is the state of one upstream.
+type limit struct {
+	evidence  Evidence
+	changedAt time.Time
+	unnamed   int // answers without a limit in a row
+	bucket    *rate.Limiter
+	chosenFor uint64 // members for which the share was calculated
+	share     float64
+}
+
+// Limits holds the limits of all upstreams. The exported fields are set before the first
+// call.
+type Limits struct {
+	Self    string
+	Regions map[string]string // regions by zone
+	// Members returns the instances that are known, this one included.
+	Members func() []member.Member
+	Log     logrus.FieldLogger
+
+	active atomic.Bool // whether there is a limit
+
+	mu         sync.Mutex
+	limits     map[string]*limit // by the ID of the upstream
+	waiting    map[string]*[rankCount]int
+	live       []member.Member
+	liveHash   uint64
+	checkedAt  time.Time
+	generation uint64
+}
+
+// Observe records what an answer of an upstream said. The rate is that which it named.
+func (l *Limits) Observe(now time.Time, u *route.Upstream, named bool, r float64) {
+	if !named && !l.active.Load() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim := l.limits[u.ID]
+	if lim != nil && lim.evidence.Born != u.Born {
+		lim = nil
+	}
+	if !named {
+		if lim == nil || !lim.evidence.Named {
+			return
+		}
+		if lim.unnamed++; lim.unnamed < endAnswers {
+			return
+		}
+	}
+	l.apply(now, lim, Evidence{Upstream: u.ID, Born: u.Born, Named: named, Rate: min(r, maxRate), At: now}, "own")
+}
+
+// Apply applies the evidence of peers. It returns that which is newer than what was known
+// and differs from it.
+func (l *Limits) Apply(now time.Time, evidence []Evidence) []Evidence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var fresh []Evidence
+	for _, e := range evidence {
+		lim := l.limits[e.Upstream]
+		switch {
+		case lim != nil && e.Born < lim.evidence.Born,
+			lim != nil && e.Born == lim.evidence.Born && e.At.Sub(lim.evidence.At) <= tolerance(e, lim.evidence),
+			now.Sub(e.At) > lifetime:
+			continue
+		case lim != nil && e.Born != lim.evidence.Born:
+			lim = nil
+		}
+		e.Rate = min(max(e.Rate, 0), maxRate)
+		if l.apply(now, lim, e, "peer") {
+			fresh = append(fresh, e)
+		}
+	}
+	return fresh
+}
+
+// tolerance returns by how much evidence must be later than that which it replaces. The time
+// of evidence grows a little on the way between instances, so that what is the same must be
+// later by more than that.
+func tolerance(e, old Evidence) time.Duration {
+	if e.Named == old.Named && e.Rate == old.Rate {
+		return timeTolerance
+	}
+	return 0
+}
+
+// apply replaces the evidence of an upstream, whose limit is nil if it is new. It reports
+// whether the limit has changed. The caller holds l.mu.
+func (l *Limits) apply(now time.Time, lim *limit, e Evidence, source string) bool {
+	if lim == nil {
+		if l.limits == nil {
+			l.limits = map[string]*limit{}
+		}
+		lim = &limit{}
+		l.limits[e.Upstream] = lim
+	}
+	old := lim.evidence
+	lim.evidence, lim.unnamed = e, 0
+	if old.Named == e.Named && old.Rate == e.Rate && old.Born == e.Born {
+		return false
+	}
+	l.generation++
+	l.active.Store(true)
+	lim.changedAt, lim.chosenFor = now, 0
+	if !e.Named || old.Born != e.Born {
+		lim.bucket = nil
+	}
+	l.Log.WithFields(logrus.Fields{
+		"Upstream": e.Upstream, "Named": e.Named, "Rate": e.Rate, "Before": old.Rate, "Source": source, "AgeMillis": now.Sub(e.At).Milliseconds(),
+	}).Info("limit of an upstream changed")
+	return true
+}
+
+// Evidence returns all evidence, that which has changed last first, and forgets that which
+// is too old.
+func (l *Limits) Evidence(now time.Time) []Evidence {
+	if !l.active.Load() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var known []*limit
+	for id, lim := range l.limits {
+		if now.Sub(lim.evidence.At) > lifetime {
+			delete(l.limits, id)
+			continue
+		}
+		known = append(known, lim)
+	}
+	l.active.Store(len(known) > 0)
+	slices.SortFunc(known, func(a, b *limit) int { return b.changedAt.Compare(a.changedAt) })
+	all := make([]Evidence, len(known))
+	for i, lim := range known {
+		all[i] = lim.evidence
+	}
+	return all
+}
+
+// Generation rises with each change of a limit.
+func (l *Limits) Generation() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generation
+}
+
+// Exhausted returns the IDs of the candidates that may not get a request of the rank now.
+func (l *Limits) Exhausted(now time.Time, candidates []*route.Upstream, rank int) []string {
+	if !l.active.Load() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var exhausted []string
+	for _, u := range candidates {
+		lim := l.limitOf(u)
+		if lim != nil && (l.shareOf(now, lim, u) <= 0 || lim.bucket.TokensAt(now) < 1 || l.precededByWaiting(u.Pool, rank)) {
+			exhausted = append(exhausted, u.ID)
+		}
+	}
+	return exhausted
+}
+
+// Limited returns the number of upstreams with a limit.
+func (l *Limits) Limited() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, lim := range l.limits {
+		if lim.evidence.Named {
+			n++
+		}
+	}
+	return n
+}
+
+// Take takes the right to send one request of the rank to an upstream now. It reports false
+// if there is none.
+func (l *Limits) Take(now time.Time, u *route.Upstream, rank int) bool {
+	if !l.active.Load() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim := l.limitOf(u)
+	if lim == nil {
+		return true
+	}
+	return l.shareOf(now, lim, u) > 0 && !l.precededByWaiting(u.Pool, rank) && lim.bucket.AllowN(now, 1)
+}
+
+// Left returns the time until one of the candidates may get a request of the rank, if a
+// limit is what keeps it from that now. It reports false if no candidate is kept so, or none
+// may ever get a request from this instance.
+func (l *Limits) Left(now time.Time, candidates []*route.Upstream, rank int) (time.Duration, bool) {
+	if !l.active.Load() {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left, ok := time.Duration(math.MaxInt64), false
+	for _, u := range candidates {
+		lim := l.limitOf(u)
+		if lim == nil {
+			continue
+		}
+		share := l.shareOf(now, lim, u)
+		missing := max(1-lim.bucket.TokensAt(now), 0)
+		if share <= 0 || (missing == 0 && !l.precededByWaiting(u.Pool, rank)) {
+			continue
+		}
+		left, ok = min(left, time.Duration(missing/share*float64(time.Second))), true
+	}
+	return left, ok
+}
+
+// Wait records that a request of the rank waits for an upstream of the pool. Less urgent
+// ones get no right to send until the returned function is called.
+func (l *Limits) Wait(pool string, rank int) (done func()) {
+	rank = boundedRank(rank)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting == nil {
+		l.waiting = map[string]*[rankCount]int{}
+	}
+	counts := l.waiting[pool]
+	if counts == nil {
+		counts = &[rankCount]int{}
+		l.waiting[pool] = counts
+	}
+	counts[rank]++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		counts[rank]--
+	}
+}
+
+// precededByWaiting reports whether a more urgent request waits for the pool. The caller
+// holds l.mu.
+func (l *Limits) precededByWaiting(pool string, rank int) bool {
+	counts := l.waiting[pool]
+	if counts == nil {
+		return false
+	}
+	for _, n := range counts[:boundedRank(rank)] {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func boundedRank(rank int) int {
+	return min(max(rank, 0), rankCount-1)
+}
+
+// limitOf returns the limit of an upstream's incarnation, nil if it has none. The caller
+// holds l.mu.
+func (l *Limits) limitOf(u *route.Upstream) *limit {
+	lim := l.limits[u.ID]
+	if lim == nil || !lim.evidence.Named || lim.evidence.Born != u.Born {
+		return nil
+	}
+	return lim
+}
+
+// shareOf returns the requests a second that this instance may send to an upstream, and
+// sets its bucket. The caller holds l.mu.
+func (l *Limits) shareOf(now time.Time, lim *limit, u *route.Upstream) float64 {
+	l.updateMembers(now)
+	if lim.chosenFor == l.liveHash && lim.bucket != nil {
+		return lim.share
+	}
+	lim.chosenFor = l.liveHash
+	named := max(lim.evidence.Rate, minRate)
+	count := min(max(int(math.Ceil(lim.evidence.Rate)), 1), max(len(l.live), 1))
+	lim.share = 0
+	if l.isChosen(u, count) {
+		lim.share = named / float64(count)
+	}
+	if lim.bucket == nil {
+		lim.bucket = rate.NewLimiter(rate.Limit(lim.share), 1)
+		lim.bucket.AllowN(now, 1) // requests were sent before the limit was known
+	}
+	lim.bucket.SetLimitAt(now, rate.Limit(lim.share))
+	return lim.share
+}
+
+// updateMembers updates the live instances. The caller holds l.mu.
+func (l *Limits) updateMembers(now time.Time) {
+	if l.liveHash != 0 && now.Sub(l.checkedAt) < memberPeriod {
+		return
+	}
+	l.checkedAt = now
+	l.live = l.live[:0]
+	l.liveHash = 1
+	for _, m := range l.Members() {
+		if m.State == member.Live {
+			l.live = append(l.live, m)
+			l.liveHash += xxhash.Sum64String(m.Name)
+		}
+	}
+}
+
+// isChosen reports whether this instance is among the count instances that use an upstream.
+// The caller holds l.mu.
+func (l *Limits) isChosen(u *route.Upstream, count int) bool {
+	type candidate struct {
+		far  int
+		hash uint64
+	}
+	candidateOf := func(m member.Member) candidate {
+		c := candidate{hash: xxhash.Sum64String(u.ID + "\x00" + m.Name)}
+		if l.Regions[m.Zone] != l.Regions[u.Zone] {
+			c.far = 1
+		}
+		return c
+	}
+	own := slices.IndexFunc(l.live, func(m member.Member) bool { return m.Name == l.Self })
+	if own < 0 {
+		return false
+	}
+	self := candidateOf(l.live[own])
+	preceding := 0
+	for _, m := range l.live {
+		c := candidateOf(m)
+		if m.Name != l.Self && cmp.Or(cmp.Compare(c.far, self.far), cmp.Compare(c.hash, self.hash)) < 0 {
+			preceding++
+		}
+	}
+	return preceding < count
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -32,6 +32,7 @@
 	notRunHeader    = "X-Knapweedwell-Not-Executed"
 	loadHeader      = "X-Knapweedwell-Server-Load"
 	leavingHeader   = "Server-Leaving"
+	limitHeader     = "Server-Limit"
 	lastEventHeader = "Last-Event-Id"
 	promptHeader    = "X-Knapweedwell-Prompt-Prefix"
 )
@@ -44,6 +45,7 @@
 	RetryAfter string        // Retry-After of refusals and failures
 	Unsigned   bool          // omits the signature header
 	Leaving    bool          // says in all answers that it leaves
+	Limit      string        // requests a second, named in all answers; empty for none
 	Twice      bool          // repeats each answer in place of the one to the next request
 	Silent     bool          // runs requests and does not answer
 	DropAnswer bool          // runs requests and closes the connection
@@ -128,6 +130,21 @@
 	return requests
 }
 
+// MostReceived returns the largest number of requests within a time span of the length that
+// begins at or after from, of those not yet removed by TakeReceived.
+func (r *Runner) MostReceived(from time.Time, length time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most, first := 0, 0
+	for i, req := range r.received {
+		for first <= i && (r.received[first].receivedAt.Before(from) || req.receivedAt.Sub(r.received[first].receivedAt) > length) {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
 // ReceivedAfter returns the IDs of the requests that were received after time t
 // and not yet removed by TakeReceived.
 func (r *Runner) ReceivedAfter(t time.Time) []string {
@@ -199,6 +216,9 @@
 	if f.Leaving {
 		w.Header().Set(leavingHeader, "1")
 	}
+	if f.Limit != "" {
+		w.Header().Set(limitHeader, f.Limit)
+	}
 	switch {
 	case req.Header.Get(expectedHeader) != r.ID:
 		w.WriteHeader(http.StatusMisdirectedRequest)
