Count the instances of a test's load once

The race detector found that TestNamedLimitHoldsAcrossInstances restarts an instance while its load reads the list of instances; the list is the test's.

--- a/simulation/edge_limit_test.go
+++ b/simulation/edge_limit_test.go
@@ -111,11 +111,12 @@
 // load sends requests at a rate a second to the instances by turns and waits for their ends.
 func (sim *routeSimulation) load(perSecond int, length time.Duration, path string) {
 	var wg sync.WaitGroup
+	instances := len(sim.instances)
 	for n := range int(length.Seconds() * float64(perSecond)) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			sim.send(request{instance: n % len(sim.instances), path: path, id: "load-" + path + time.Now().String() + itoa(n)})
+			sim.send(request{instance: n % instances, path: path, id: "load-" + path + time.Now().String() + itoa(n)})
 		}()
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
