Close the connection after a refusal without a request ID

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection. It could happen here if the refusal has no request ID: it was taken for the answer to the next request on that connection, which the upstream ran. Callers of requests that may run once were told 503, not run, and their retries ran again. A repeated refusal with an ID was skipped before, as it names another request.

Change: a connection on which a refusal without an ID was read is not kept, so that nothing of it can be read later. Ruled out: not believing any refusal without an ID (a first one on a connection belongs to its only request).

--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -137,6 +137,10 @@
 	}
 	if headers.NotRun {
 		t.skipBody()
+		if headers.ID == "" {
+			// Written once more, it would be taken for the answer to the next request.
+			t.keep = false
+		}
 		return rejected{reason: t.resp.Status, moved: t.resp.StatusCode == http.StatusMisdirectedRequest}
 	}
 	t.rs.runs++
