Keep text that is no event out of a resumed stream

Report of other operators: a stream had begun and broke off, and the next upstream answered with an error, whose text callers found in their stream. Here a failure, a refusal, an unsigned or an encoded answer was kept out before, and the stream ended visibly cut off. But a signed success that holds an error's text, of another type or as text between events (an error's head included), was relayed after the first one's events, and the stream ended as if it were complete.

Change: once the caller has a numbered event, a resumed stream may hold numbered events and comments only; other text breaks the send off, so that the stream is resumed elsewhere or cut off visibly. Ruled out: comparing the content type alone (the text may come under the right one).

--- a/forward/event.go
+++ b/forward/event.go
@@ -54,6 +54,11 @@
 	return false
 }
 
+// isComment reports whether an event has comments and blank lines only.
+func isComment(event []byte) bool {
+	return !insideEvent(event)
+}
+
 // cutLine returns the first line of the text without its end and the text after it, and
 // reports whether the line is ended.
 func cutLine(text []byte) (line, after []byte, ended bool) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,7 +49,7 @@
 			rs.stream.recordGap(now)
 			if werr := rs.writeEvents(t, pending[:complete]); werr != nil {
 				t.keep = false
-				rs.callerGone = true
+				rs.callerGone = errors.Is(werr, errWriteToCaller)
 				return broken{reason: werr.Error()}
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -112,36 +112,63 @@
 		rs.begin(t.resp.StatusCode, t.resp.Header)
 		rs.w.WriteHeader(t.resp.StatusCode)
 	}
-	resumed := rs.runs > 1
-	out := data
-	if resumed {
-		out = out[:0:0]
+	out, err := data, error(nil)
+	if rs.runs > 1 {
+		out, err = rs.stream.resume(data)
+	} else {
+		rs.stream.record(data)
 	}
+	if len(out) == 0 {
+		return err
+	}
+	rs.extendWrite()
+	if _, werr := rs.w.Write(out); werr != nil {
+		return errors.Wrap(errWriteToCaller, werr.Error())
+	}
+	if werr := rs.control.Flush(); werr != nil {
+		return errors.Wrap(errWriteToCaller, werr.Error())
+	}
+	return err
+}
+
+// errNoEvent marks text in a resumed stream that is no event of it.
+var errNoEvent = errors.New("the stream goes on with other text than its events")
+
+// record records complete events that are relayed.
+func (s *stream) record(data []byte) {
+	for rest := data; len(rest) > 0; {
+		n := endOfEvent(rest)
+		s.recordEvent(rest[:n])
+		rest = rest[n:]
+	}
+}
+
+// recordEvent records an event that is relayed.
+func (s *stream) recordEvent(event []byte) {
+	s.events++
+	if id, number, ok := eventID(event); ok {
+		s.lastID, s.lastNumber = id, number
+	}
+}
+
+// resume returns those of the complete events of another upstream that the caller does not
+// have, and records them. Once the caller has a numbered event, text without a number is no
+// event of the stream: resume returns errNoEvent and what comes before it.
+func (s *stream) resume(data []byte) ([]byte, error) {
+	var out []byte
 	for rest := data; len(rest) > 0; {
 		n := endOfEvent(rest)
 		event := rest[:n]
 		rest = rest[n:]
-		id, number, ok := eventID(event)
-		if resumed && ok && number <= rs.stream.lastNumber && rs.stream.lastID != "" {
+		_, number, ok := eventID(event)
+		switch {
+		case ok && number <= s.lastNumber && s.lastID != "":
 			continue
+		case !ok && s.lastID != "" && !isComment(event):
+			return out, errNoEvent
 		}
-		if ok {
-			rs.stream.lastID, rs.stream.lastNumber = id, number
-		}
-		rs.stream.events++
-		if resumed {
-			out = append(out, event...)
-		}
-	}
-	if len(out) == 0 {
-		return nil
-	}
-	rs.extendWrite()
-	if _, err := rs.w.Write(out); err != nil {
-		return errors.Wrap(errWriteToCaller, err.Error())
-	}
-	if err := rs.control.Flush(); err != nil {
-		return errors.Wrap(errWriteToCaller, err.Error())
+		s.recordEvent(event)
+		out = append(out, event...)
 	}
-	return nil
+	return out, nil
 }
--- a/simulation/edge_foreign_test.go
+++ b/simulation/edge_foreign_test.go
@@ -12,8 +12,47 @@
 
 const (
 	answerFields = "X-Knapweedwell-Request-Id: %s\r\nX-Knapweedwell-Response-Signature: s\r\n"
+	streamHead   = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + answerFields + "\r\n"
+	twoEvents    = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 )
 
+// TestErrorOfNextUpstreamIsKeptOutOfStream guards against the text of another answer in a
+// stream that has begun, and against a stream that looks complete after it.
+func TestErrorOfNextUpstreamIsKeptOutOfStream(t *testing.T) {
+	const (
+		errorText = "{\"error\": \"no model\"}\n\n"
+		comment   = ": ping\n\n" // may be in any stream
+	)
+	for name, next := range map[string]string{
+		"failure":                    "HTTP/1.1 500 Failed\r\n" + answerFields + "Content-Length: 23\r\n\r\n" + errorText,
+		"failure without a length":   "HTTP/1.1 502 Failed\r\n" + answerFields + "\r\n" + errorText,
+		"not found":                  "HTTP/1.1 404 Not Found\r\n" + answerFields + "\r\n" + errorText,
+		"refusal":                    "HTTP/1.1 503 Full\r\nX-Knapweedwell-Not-Executed: 1\r\n" + answerFields + "Content-Length: 0\r\n\r\n",
+		"unsigned":                   "HTTP/1.1 200 OK\r\nX-Knapweedwell-Request-Id: %s\r\n\r\n" + errorText,
+		"success of another type":    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + answerFields + "\r\n" + errorText,
+		"text in a stream":           streamHead + errorText,
+		"text with an earlier event": streamHead + "id: 2\ndata: b\n\n" + errorText,
+		"head in a stream":           streamHead + "HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\nid: 3\ndata: c\n\n",
+		"text without a blank line":  streamHead + "overloaded\n",
+		"comment with text":          streamHead + comment + errorText,
+		"bytes":                      "nonsense\r\n\r\n",
+		"encoded":                    "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + answerFields + "\r\n" + errorText,
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulateRoutes(t, 1, func(sim *routeSimulation) {
+				u := &textUpstream{texts: []string{streamHead + twoEvents + "id: 3\nda", next}}
+				sim.startRawUpstream("model-raw", "model", u.serve)
+				sim.startRawUpstream("model-spare", "model", u.serve)
+				got := sim.send(request{path: "/talk/1", id: "u1"})
+				got.body = strings.TrimSuffix(got.body, comment)
+				if got.status != 200 || got.complete || got.body != twoEvents {
+					t.Errorf("got %d, complete %t, %q, expected 200, false, %q", got.status, got.complete, got.body, twoEvents)
+				}
+			})
+		})
+	}
+}
+
 // repeatingUpstream refuses the first request on a connection. It writes that refusal once
 // more before the answer to the second one.
 type repeatingUpstream struct {
