Do not repeat a stream whose events have no numbers

Change: once an event without a number was relayed, the request is not sent again, and a silence no longer interrupts it; it ends visibly cut off.

TestStreamWithoutIDsIsNotRepeated failed before.

--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -171,7 +171,7 @@
 
 // mayRetry reports whether a request that may have run may run again.
 func (rs *requestState) mayRetry() bool {
-	return rs.route.Repeatable() && rs.runs < rs.route.MaxAttempts
+	return rs.route.Repeatable() && !rs.stream.unnumbered.Load() && rs.runs < rs.route.MaxAttempts
 }
 
 // mayRetryAfterRun reports whether a request may run again after the run that is
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,7 @@
 	lastID     string        // ID of the last relayed event that has one
 	lastNumber int64         // lastID as a number
 	events     int           // number of relayed events
+	unnumbered atomic.Bool   // whether an event without a number was relayed, after which nothing can go on
 	lastAt     time.Time     // when events were last relayed
 	maxGap     time.Duration // longest gap between events so far
 }
@@ -148,6 +150,8 @@
 	s.events++
 	if id, number, ok := eventID(event); ok {
 		s.lastID, s.lastNumber = id, number
+	} else if !isComment(event) {
+		s.unnumbered.Store(true)
 	}
 }
 
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -105,7 +105,7 @@
 			case <-done:
 				return
 			case now := <-ticker.C:
-				if t.attempt.Silent(now, maxSilence) && t.rs.reserveRetry(now) {
+				if t.attempt.Silent(now, maxSilence) && !t.rs.stream.unnumbered.Load() && t.rs.reserveRetry(now) {
 					t.silent.Store(true)
 					t.conn.Interrupt()
 					return
--- a/simulation/edge_foreign_test.go
+++ b/simulation/edge_foreign_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// TestStreamWithoutIDsIsNotRepeated guards against events that the caller gets twice because
+// nothing shows which ones it has.
+func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
+	const events = "data: a\n\ndata: b\n\n"
+	simulateRoutes(t, 1, func(sim *routeSimulation) {
+		u := &textUpstream{texts: []string{streamHead + events + "da", streamHead + events + "data: c\n\n"}}
+		sim.startRawUpstream("model-raw", "model", u.serve)
+		sim.startRawUpstream("model-spare", "model", u.serve)
+		got := sim.send(request{path: "/talk/1", id: "u1"})
+		if got.complete || got.body != events {
+			t.Errorf("got complete %t, %q, expected false, %q", got.complete, got.body, events)
+		}
+	})
+}
+
 // repeatingUpstream refuses the first request on a connection. It writes that refusal once
 // more before the answer to the second one.
 type repeatingUpstream struct {
