Round limits to the same number at all instances

Change: rates are rounded to thousandths where they are observed, and travel in whole thousandths.

TestLimitIsEqualAtPeer failed before.

--- a/exchange/factscodec.go
+++ b/exchange/factscodec.go
@@ -28,7 +28,6 @@
 	maxFactAge = 24 * time.Hour
 	maxPlace   = 1 << 10 // places in a prompt
 	maxCrashes = 1 << 20 // crashes of one verdict
-	rateUnit   = 1e-3    // requests a second
 )
 
 // comparison is the step of a comparison of facts that a message is. It begins with the
@@ -139,7 +138,7 @@
 	b = binary.AppendUvarint(b, uint64(max(e.Born, 0)))
 	b = appendMillis(b, now.Sub(e.At))
 	b = append(b, boolByte(e.Named))
-	return binary.AppendUvarint(b, uint64(math.Round(e.Rate/rateUnit)))
+	return binary.AppendUvarint(b, uint64(math.Round(e.Rate*ratelimit.RateSteps)))
 }
 
 // limit reads what appendLimit encodes. The upstream is a hash.
@@ -148,7 +147,7 @@
 	e.Born = int64(r.uvarint() & math.MaxInt64)
 	e.At = now.Add(-r.millis())
 	e.Named = r.bytes(1)[0] != 0
-	e.Rate = float64(r.count(maxCount)) * rateUnit
+	e.Rate = float64(r.count(maxCount)) / ratelimit.RateSteps
 	return e
 }
 
--- a/exchange/factscodec_test.go
+++ b/exchange/factscodec_test.go
@@ -1,12 +1,16 @@
 package exchange
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"knapweedwell/quarantine"
+	"knapweedwell/ratelimit"
+	"knapweedwell/route"
 )
 
 func sampleFacts(now time.Time) factsMessage {
@@ -83,3 +87,21 @@
 		_, _ = decodeFacts(now, data)
 	})
 }
+
+// TestLimitIsEqualAtPeer guards against a limit that a peer takes for a changed one.
+func TestLimitIsEqualAtPeer(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := time.Unix(1000, 0)
+	for _, rate := range []float64{0, 0.1, 7.1, 3.3333333, 10.6, 1e6, 1e300} {
+		own, peers := &ratelimit.Limits{Log: log}, &ratelimit.Limits{Log: log}
+		own.Observe(now, &route.Upstream{ID: "u", Born: 5}, true, rate)
+		data := encodeFacts(now, factsMessage{Sender: "a", Limits: own.Evidence(now)})
+		m, err := decodeFacts(now, data)
+		assert.NilError(t, err)
+		assert.Equal(t, m.Limits[0].Upstream, upstreamHash("u"))
+		m.Limits[0].Upstream = "u"
+		assert.Equal(t, len(peers.Apply(now, m.Limits)), 1)
+		assert.DeepEqual(t, peers.Evidence(now), own.Evidence(now))
+	}
+}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -19,6 +19,9 @@
 const (
 	minRate = 0.1 // requests a second at a limit of zero
 	maxRate = 1e6 // requests a second that count as no limit
+	// RateSteps is the number of steps in one request a second to which rates are rounded, so
+	// that they are equal at all instances.
+	RateSteps = 1000
 	// endAnswers is the number of answers without a limit in a row that end it.
 	endAnswers = 2
 	// lifetime is the time without an answer of an upstream to any instance after which its
@@ -89,7 +92,7 @@
 			return
 		}
 	}
-	l.apply(now, lim, Evidence{Upstream: u.ID, Born: u.Born, Named: named, Rate: min(r, maxRate), At: now}, "own")
+	l.apply(now, lim, Evidence{Upstream: u.ID, Born: u.Born, Named: named, Rate: rounded(r), At: now}, "own")
 }
 
 // Apply applies the evidence of peers. It returns that which is newer than what was known
@@ -108,7 +111,7 @@
 		case lim != nil && e.Born != lim.evidence.Born:
 			lim = nil
 		}
-		e.Rate = min(max(e.Rate, 0), maxRate)
+		e.Rate = rounded(e.Rate)
 		if l.apply(now, lim, e, "peer") {
 			fresh = append(fresh, e)
 		}
@@ -116,6 +119,11 @@
 	return fresh
 }
 
+// rounded returns a rate within its bounds and rounded.
+func rounded(r float64) float64 {
+	return math.Round(min(max(r, 0), maxRate)*RateSteps) / RateSteps
+}
+
 // tolerance returns by how much evidence must be later than that which it replaces. The time
 // of evidence grows a little on the way between instances, so that what is the same must be
 // later by more than that.
