Send a large value to two readers at a time, and name them at random

It failed at 300 (4 instances late after 4 s) and 680 (490 late). Cause: with four readers at a time each gets a quarter of the link, and the number of instances that have the value grows fivefold in the time in which two at a time make it ninefold; and all that had to wait were told the same three readers. Three at a time: 79 late at 680.

Change: two at a time; those that wait are told three of the readers at random.

--- a/exchange/facts.go
+++ b/exchange/facts.go
@@ -358,7 +358,7 @@
 		return nil
 	}
 	s.applyLimits(now, m.Limits)
-	if s.Facts == nil {
+	if s.Facts == nil || (len(m.Facts) == 0 && m.Compare == noComparison) {
 		return nil
 	}
 	s.applyFacts(now, m.Facts)
--- a/transfer/offer.go
+++ b/transfer/offer.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 const (
 	partBytes = 16 << 10
 	// maxReaders is the number of readers that get parts of large encodings at a time.
-	maxReaders = 4
+	maxReaders = 2
 	// readerTimeout is the time after its last part after which a reader has given up.
 	readerTimeout    = 600 * time.Millisecond
 	maxKeptBytes     = 4 << 20 // older versions that differences may start from
@@ -119,7 +120,7 @@
 	}
 	if len(e.data) > partBytes && !o.admit(now, req.Reader) {
 		r.Busy = true
-		r.Ask = slices.Clone(o.served[max(len(o.served)-maxNamedReaders, 0):])
+		r.Ask = o.someServed()
 		return r, nil
 	}
 	end := min(offset+partBytes, len(e.data))
@@ -130,6 +131,13 @@
 	return r, nil
 }
 
+// someServed returns some of the readers that have got the newest version.
+func (o *offer) someServed() []string {
+	some := slices.Clone(o.served)
+	rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	return some[:min(len(some), maxNamedReaders)]
+}
+
 // admit reports whether a reader may get a part of a large encoding now.
 func (o *offer) admit(now time.Time, reader string) bool {
 	if o.readers == nil {
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -38,15 +38,17 @@
 type fleet struct {
 	services map[string]*Service
 
-	mu    sync.Mutex
-	calls map[string]int // by the address of the called instance
-	sent  map[string]int // bytes of parts by the address of the sender
+	mu     sync.Mutex
+	calls  map[string]int       // by the address of the called instance
+	sent   map[string]int       // bytes of parts by the address of the sender
+	rate   float64              // bytes a second of the link of each instance; zero if it is not limited
+	sentAt map[string]time.Time // end of the transmissions of an instance
 	// fault changes the answers of an instance, or fails calls; may be nil.
 	fault func(address, method string, r *reply) error
 }
 
 func newFleet() *fleet {
-	return &fleet{services: map[string]*Service{}, calls: map[string]int{}, sent: map[string]int{}}
+	return &fleet{services: map[string]*Service{}, calls: map[string]int{}, sent: map[string]int{}, sentAt: map[string]time.Time{}}
 }
 
 // add adds an instance. Values that begin with an exclamation mark are not valid.
@@ -70,29 +72,51 @@
 
 func (f *fleet) call(ctx context.Context, address, method string, params, result any) error {
 	time.Sleep(time.Millisecond)
+	wait, err := f.answer(ctx, address, method, params, result)
+	time.Sleep(wait)
+	return err
+}
+
+// answer answers a call and returns the time that the answer takes over the links.
+func (f *fleet) answer(ctx context.Context, address, method string, params, result any) (time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls[address]++
 	data, err := json.Marshal(params)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	answer, err := f.services[address].serve(ctx, "", data)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r := answer.(reply)
 	if f.fault != nil {
 		if err := f.fault(address, method, &r); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	f.sent[address] += len(r.Part)
 	data, err = json.Marshal(r)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return json.Unmarshal(data, result)
+	return f.transmit(address, len(data)), json.Unmarshal(data, result)
+}
+
+// transmit returns the time until bytes have passed the link of an instance, after those
+// before them. The caller holds f.mu.
+func (f *fleet) transmit(address string, size int) time.Duration {
+	if f.rate == 0 {
+		return 0
+	}
+	now := time.Now()
+	start := f.sentAt[address]
+	if start.Before(now) {
+		start = now
+	}
+	f.sentAt[address] = start.Add(time.Duration(float64(size) / f.rate * float64(time.Second)))
+	return f.sentAt[address].Sub(now)
 }
 
 func (f *fleet) callsOf(address string) int {
@@ -218,6 +242,40 @@
 	})
 }
 
+// TestThinLinks checks the time to the last instance at 10 Mbit/s, in fleets up to the size to
+// design for, with a value about three times as large as a table of 1,400 routes, and for the
+// next version.
+func TestThinLinks(t *testing.T) {
+	const inTime = 4 * time.Second // in which a change must be in force
+	for _, n := range []int{76, 300, 680} {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				defer f.close()
+				f.rate = 10e6 / 8
+				a := f.add("a")
+				for i := range n - 1 {
+					f.add(fmt.Sprint("reader-", i))
+				}
+				for version := range int64(2) {
+					a.Set(value(version+1, large(int(version))))
+					for _, s := range f.services {
+						s.Hint("a", version+1, false)
+					}
+					time.Sleep(inTime)
+					late := 0
+					for _, s := range f.services {
+						if s.Current().Version != version+1 {
+							late++
+						}
+					}
+					assert.Equal(t, late, 0, "instances without version %d", version+1)
+				}
+			})
+		})
+	}
+}
+
 // TestBadPeers checks that an instance that sends what is not valid costs only its own
 // answers.
 func TestBadPeers(t *testing.T) {
