--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -80,39 +80,51 @@
 		if refusal := rs.s.Quarantine.Check(time.Now(), rs.headers.Prompt.Shared()); refusal != nil {
 			return rs.withhold(refusal)
 		}
-		r := rs.pickRequest()
-		c, ok := rs.s.Picker.Choose(time.Now(), rs.s.Roster().Pool(name), r)
-		if ok {
-			rs.choice = c
-			if f := rs.refuseOverload(); f != nil {
-				return f
-			}
-			if !rs.s.Limits.Take(time.Now(), c.Upstream, rs.rank) {
-				continue // another request was faster
-			}
+		r, ok, f := rs.chooseUpstream()
+		if f != nil {
+			return f
 		}
 		switch {
 		case ok && (rs.sends == 0 || rs.takeRetry()):
-		case !ok && rs.waitForLimit(ctx):
-			continue
-		case rs.waitToResume(ctx):
+		case !ok && rs.waitForLimit(ctx), rs.waitToResume(ctx):
 			continue
 		case !ok:
 			return rs.giveUp("no upstream of %s is left to try", name)
 		default:
 			return rs.giveUp("the retry budget is spent")
 		}
-		if f, done := rs.handleResult(ctx, rs.send(ctx, r, c)); done {
+		if f, done := rs.handleResult(ctx, rs.send(ctx, r, rs.choice)); done {
 			return f
 		}
 	}
 }
 
+// chooseUpstream chooses the upstream of the next send and takes the right to send to it. It
+// reports false if there is none, and returns a failure if the request is refused.
+func (rs *requestState) chooseUpstream() (balancer.Request, bool, *request.Failure) {
+	for {
+		now := time.Now()
+		r := rs.pickRequest(now)
+		c, ok := rs.s.Picker.Choose(now, rs.candidates(), r)
+		if !ok {
+			return r, false, nil
+		}
+		rs.choice = c
+		if f := rs.refuseOverload(); f != nil {
+			return r, false, f
+		}
+		if rs.s.Limits.Take(now, c.Upstream, rs.rank) {
+			return r, true, nil
+		}
+		// Another request was faster.
+	}
+}
+
 // pickRequest returns the request as the picker sees it.
-func (rs *requestState) pickRequest() balancer.Request {
+func (rs *requestState) pickRequest(now time.Time) balancer.Request {
 	return balancer.Request{
 		Pool: rs.pool, Rank: rs.rank, LowestRank: rs.table.LowestRank(rs.pool.Name), Prompt: &rs.headers.Prompt,
-		GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, rs.pool.Name), Avoid: rs.avoidNow(time.Now()),
+		GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, rs.pool.Name), Avoid: rs.avoidNow(now),
 	}
 }
 
--- a/transfer/reader.go
+++ b/transfer/reader.go
@@ -54,12 +54,25 @@
 	if err == nil {
 		err = r.add(rep)
 	}
+	s.recordReply(address, rep, err)
+	switch {
+	case err != nil && ctx.Err() == nil:
+		s.recordFailure(r, address, err)
+	case err == nil && !rep.Busy && len(rep.Part) > 0 && r.complete():
+		s.finish(r, address)
+	}
+}
+
+// recordReply records what an instance has answered, so that it or another one is asked next.
+func (s *Service) recordReply(address string, rep reply, err error) {
+	now := time.Now()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
 	case err != nil:
-		s.sources.failed(time.Now(), address)
+		s.sources.failed(now, address)
 	case rep.Busy:
-		s.sources.postpone(time.Now(), address)
+		s.sources.postpone(now, address)
 		for _, other := range rep.Ask {
 			if other != s.Peers.Address {
 				s.sources.add(other, rep.Version)
@@ -71,13 +84,6 @@
 	default:
 		s.sources.succeeded(address)
 	}
-	s.mu.Unlock()
-	switch {
-	case err != nil && ctx.Err() == nil:
-		s.recordFailure(r, address, err)
-	case err == nil && !rep.Busy && len(rep.Part) > 0 && r.complete():
-		s.finish(r, address)
-	}
 }
 
 // call asks an instance for the next part.
