--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -79,7 +79,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lim := l.limits[u.ID]
-	if lim != nil && lim.evidence.Born != u.Born {
+	switch {
+	case lim != nil && u.Born < lim.evidence.Born:
+		return // a late answer of an earlier incarnation
+	case lim != nil && u.Born != lim.evidence.Born:
 		lim = nil
 	}
 	if !named {
