Let routing word the log lines about fetches

Package transfer had given "configuration was not fetched from a peer" another message and a field for the value; operators know the old one. The messages are fields of transfer.Service now.

--- a/routing/manager.go
+++ b/routing/manager.go
@@ -59,6 +59,7 @@
 func (m *Manager) Prepare() {
 	m.transfer = transfer.Service{
 		Name: transferName, Peers: m.Peers, Delay: fetchDelay, Apply: m.applyFetched, FetchWhole: m.fetchWhole, Log: m.Log,
+		Fetched: "configuration fetched from a peer", NotFetched: "configuration was not fetched from a peer",
 		Call: func(ctx context.Context, address, method string, params, result any) error {
 			return follow.CallPeer(ctx, m.Peers, address, method, params, result)
 		},
--- a/transfer/reader.go
+++ b/transfer/reader.go
@@ -188,20 +188,20 @@
 		delete(s.sources.known, address)
 		s.mu.Unlock()
 	}
-	s.fetched.Add(1)
-	s.Log.WithFields(done.fields(s.Name, address)).Info("version fetched from a peer")
+	s.whole.Add(1)
+	s.Log.WithFields(done.fields(address)).Info(s.Fetched)
 }
 
 // recordFailure counts and logs a failed part.
 func (s *Service) recordFailure(r *reading, address string, err error) {
 	s.failed.Add(1)
-	s.Log.WithFields(r.fields(s.Name, address)).WithField("Error", err.Error()).Warn("version was not fetched from a peer")
+	s.Log.WithFields(r.fields(address)).WithField("Error", err.Error()).Warn(s.NotFetched)
 }
 
 // fields returns the fields of a log line about the reading.
-func (r *reading) fields(name, address string) logrus.Fields {
+func (r *reading) fields(address string) logrus.Fields {
 	return logrus.Fields{
-		"Value": name, "Peer": address, "Version": r.last.Version, "Bytes": len(r.data), "Size": r.last.Size, "Difference": r.last.Base != 0,
+		"Peer": address, "Version": r.last.Version, "Bytes": len(r.data), "Size": r.last.Size, "Difference": r.last.Base != 0,
 		"Calls": r.calls, "Millis": time.Since(r.began).Milliseconds(),
 	}
 }
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -29,6 +29,9 @@
 	// parts.
 	FetchWhole func(ctx context.Context, address string) (Value, error)
 	Log        logrus.FieldLogger
+	// Fetched and NotFetched are the messages of the log lines about fetches.
+	Fetched    string
+	NotFetched string
 
 	offerMu sync.Mutex
 	offer   offer
@@ -39,7 +42,7 @@
 	fetching bool
 	group    background.Group
 
-	received, sent, fetched, failed atomic.Int64
+	received, sent, whole, failed atomic.Int64
 }
 
 // Counts holds the numbers of bytes of parts and of whole fetches since the start.
@@ -64,7 +67,7 @@
 
 // Counts returns the numbers of bytes and fetches.
 func (s *Service) Counts() Counts {
-	return Counts{ReceivedBytes: s.received.Load(), SentBytes: s.sent.Load(), Fetched: s.fetched.Load(), Failed: s.failed.Load()}
+	return Counts{ReceivedBytes: s.received.Load(), SentBytes: s.sent.Load(), Fetched: s.whole.Load(), Failed: s.failed.Load()}
 }
 
 // Set offers a version to other instances, unless it has a newer one.
