Write down the timeline of a store that comes back from a copy, before any change

The logs show the belief without an age; two more hypotheses come from reading. The stand-in store can be restored from a copy and names its era, so that tests can show them. No product code changed.

--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -18,7 +18,7 @@
 // faults to it before it calls next.
 func (s *Server) injectFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f, overLimit := s.countCall(r)
+		f, overLimit := s.countCall(w, r)
 		time.Sleep(f.Slow)
 		switch {
 		case f.Silent:
@@ -70,10 +70,11 @@
 }
 
 // countCall counts a call and returns the injected faults and whether the call
-// exceeds their rate limit.
-func (s *Server) countCall(r *http.Request) (Faults, bool) {
+// exceeds their rate limit. It sets the header with the era.
+func (s *Server) countCall(w http.ResponseWriter, r *http.Request) (Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	s.calls[r.Method]++
 	now := time.Now()
 	if now.Sub(s.secondStart) >= time.Second {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -76,6 +76,9 @@
 	calls         map[string]int64 // number of calls by method
 	secondStart   time.Time        // start of the second in which calls are counted
 	callsInSecond int
+	era           int64 // rises with each Restore
+	backups       []backup
+	owned         map[objectKey]ownerWrite
 }
 
 // New returns an empty object store.
@@ -87,6 +90,8 @@
 		revision: 1,
 		changed:  make(chan struct{}),
 		calls:    map[string]int64{},
+		era:      initialEra,
+		owned:    map[objectKey]ownerWrite{},
 	}
 }
 
@@ -102,6 +107,7 @@
 	api.HandleFunc("/objects/{kind}/{name}", s.remove).Methods(http.MethodDelete)
 	m.HandleFunc("/admin/faults", s.handleFaults).Methods(http.MethodPut)
 	m.HandleFunc("/admin/objects/{kind}/{name}", s.setObject).Methods(http.MethodPut)
+	m.HandleFunc("/admin/restore", s.handleRestore).Methods(http.MethodPut)
 	m.HandleFunc("/admin/calls", s.getCalls).Methods(http.MethodGet)
 	return m
 }
@@ -122,12 +128,18 @@
 	if err != nil {
 		panic(err)
 	}
-	s.applyAfterLag(kind, func() { s.putObject(kind, name, spec) })
+	s.applyAfterLag(kind, func() {
+		s.recordOwner(kind, name, ownerWrite{spec: spec})
+		s.putObject(kind, name, spec)
+	})
 }
 
 // Delete removes an object as its owner does, with the same delay as Put.
 func (s *Server) Delete(kind, name string) {
-	s.applyAfterLag(kind, func() { s.deleteObject(kind, name) })
+	s.applyAfterLag(kind, func() {
+		s.recordOwner(kind, name, ownerWrite{deleted: true})
+		s.deleteObject(kind, name)
+	})
 }
 
 // Compact removes the history. Watches from an earlier revision than the
@@ -189,6 +201,7 @@
 	if old != nil && string(old.Spec) == string(spec) {
 		return old
 	}
+	s.backUp()
 	s.revision++
 	o := &Object{Metadata: Metadata{Name: name, Revision: s.revision, Created: s.revision, Finalizers: []string{}}, Spec: spec}
 	if old != nil {
@@ -210,6 +223,7 @@
 	if old == nil {
 		return
 	}
+	s.backUp()
 	s.revision++
 	delete(s.kinds[kind], name)
 	s.history[kind] = append(s.history[kind], Event{Removed: true, Object: *old, revision: s.revision})
@@ -221,6 +235,7 @@
 	v := mux.Vars(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	o := s.kinds[v["kind"]][v["name"]]
 	if o == nil {
 		http.Error(w, "no such object", http.StatusNotFound)
@@ -240,6 +255,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	names := []string{}
 	for name := range s.kinds[kind] {
 		if name > q.Get("after") {
@@ -276,7 +292,7 @@
 			<-r.Context().Done()
 			return
 		}
-		status, events, revision, changed := s.changesSince(kind, after, r.RemoteAddr)
+		status, events, revision, changed := s.changesSince(w, kind, after, r.RemoteAddr)
 		if status != http.StatusOK {
 			http.Error(w, "the watch cannot go on", status)
 			return
@@ -305,15 +321,16 @@
 
 // changesSince returns the HTTP status of a watch, the changes of a kind after
 // a revision, the revision of the last change and the channel that is closed on
-// the next one.
-func (s *Server) changesSince(kind string, after int64, remoteAddress string) (int, []Event, int64, chan struct{}) {
+// the next one. It sets the header with the era.
+func (s *Server) changesSince(w http.ResponseWriter, kind string, after int64, remoteAddress string) (int, []Event, int64, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	events := []Event{}
 	switch {
 	case s.faults.Outage || s.faults.TurnedAway[host(remoteAddress)]:
 		return http.StatusServiceUnavailable, nil, 0, nil
-	case after < s.compacted:
+	case after < s.compacted || after > s.revision:
 		return http.StatusGone, nil, 0, nil
 	}
 	for _, e := range s.history[kind] {
@@ -345,6 +362,7 @@
 	kind := mux.Vars(r)["kind"]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	if old := s.kinds[kind][o.Metadata.Name]; old != nil {
 		conflict(w, old)
 		return
@@ -362,6 +380,7 @@
 	v := mux.Vars(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	old := s.kinds[v["kind"]][v["name"]]
 	switch {
 	case old == nil:
@@ -380,6 +399,7 @@
 	v := mux.Vars(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	old := s.kinds[v["kind"]][v["name"]]
 	switch {
 	case old == nil:
