Compare revisions of the store within one era only

What callers saw: in a drill the store comes back from a copy some seconds old.

Cause: the store's revisions go back and are given out again, and nothing read Store-Era. The roster refused every list below the highest revision it had seen, as if a peer had been ahead; a watch from a revision that was given out again succeeded and left out what had changed below it. Class: a belief about the store that does not say which store it is about.

Ruled out: routes. Their version is the operator's, never goes back, and the operator writes the newest one again.

Change: the client reads the era of each answer and uses none of an earlier one; lists and changes name theirs; a follower lists again in a later era. The position of a roster is its era and its mark; peers exchange both, the era in the upper half of the sequence number, which earlier builds read as a whole. What is known of upstreams that leave or are gone holds on in a new era, since the copy may be from before; entries that the copy lacks are retained as after an outage. A peer that asks for the changes since a mark of another era, or since one before the first list, gets all entries.

Evidence: TestRestoredStoreChangesUpstreams (both cases) and TestRestoredStoreRevivesNoUpstream fail before this change and pass with it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -157,14 +157,14 @@
 		Roster:           i.Roster.Current,
 		EngineMemory:     i.engineMemory,
 		Version:          i.Routing.Version,
-		RosterMark:       i.Roster.Mark,
+		Position:         i.Roster.Position,
 		StoreUnreachable: i.Roster.StoreUnreachable,
 		News:             i.Heartbeats.RecentChanges,
 		MergeNews:        i.Heartbeats.MergeNews,
 		FetchMembers:     i.Heartbeats.FetchMembersAsync,
-		OnReport: func(address string, version, rosterMark int64) {
+		OnReport: func(address string, version int64, position roster.Position) {
 			i.Routing.FetchNewer(address, version)
-			i.Roster.FetchNewer(address, rosterMark)
+			i.Roster.FetchNewer(address, position)
 		},
 		Facts:  i.Quarantine,
 		Limits: i.Limits,
@@ -190,6 +190,12 @@
 	return i.Exchange.Role()
 }
 
+// storeEra returns the highest era of the store that this instance knows, by its own calls
+// or by its peers.
+func (i *Instance) storeEra() int64 {
+	return max(i.store.Era(), i.Roster.Position().Era)
+}
+
 // engineMemory returns the cache capacity of an upstream's engine in tokens. It
 // reports false if the upstream has none or is unknown.
 func (i *Instance) engineMemory(id string) (int, bool) {
@@ -241,6 +247,7 @@
 	i.metrics.Gauge("knapweedwell_quarantined_parts", func() float64 { return float64(len(i.Quarantine.Verdicts(time.Now()))) })
 	i.metrics.Gauge("knapweedwell_quarantine_refusals_total", func() float64 { return float64(i.Quarantine.Refusals()) })
 	i.metrics.Gauge("knapweedwell_limited_upstreams", func() float64 { return float64(i.Limits.Limited()) })
+	i.metrics.Gauge("knapweedwell_store_era", func() float64 { return float64(i.storeEra()) })
 	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
 	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
 		dialed, _ := i.connections.Counts()
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -46,6 +46,7 @@
 	State        string
 	Version      int64
 	RosterAt     int64
+	StoreEra     int64
 	StoreAway    bool
 	StoreSilence time.Duration // time since the store last answered
 	Running      int
@@ -67,7 +68,7 @@
 func (o *operatorServer) status(w http.ResponseWriter, _ *http.Request) {
 	i := o.instance
 	s := Status{
-		Name: i.Settings.Name, Version: i.Routing.Version(), RosterAt: i.Roster.Mark(), StoreAway: i.Roster.StoreUnreachable(),
+		Name: i.Settings.Name, Version: i.Routing.Version(), RosterAt: i.Roster.Position().Mark, StoreEra: i.storeEra(), StoreAway: i.Roster.StoreUnreachable(),
 		StoreSilence: time.Since(i.Routing.LastAnswer()), Members: i.Heartbeats.Members(), Leaving: i.Roster.Current().Leaving(),
 	}
 	i.Heartbeats.With(func(v *member.View) { s.State = v.Self.State.String() })
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -8,6 +8,7 @@
 
 	"knapweedwell/balancer"
 	"knapweedwell/member"
+	"knapweedwell/roster"
 )
 
 const (
@@ -16,6 +17,10 @@
 	maxNameBytes  = 64
 	gapRatioScale = 64  // steps per unit of the logarithm of a gap ratio
 	maxEntries    = 400 // entries of one kind in one datagram
+	// eraShift is the number of bits below the era of the store in a sequence number.
+	// Earlier builds read the number as a whole.
+	eraShift = 32
+	maxEra   = 1<<31 - 1 // higher eras are sent as unknown
 )
 
 // message is one datagram.
@@ -23,9 +28,9 @@
 	Sender           string
 	State            member.State
 	StoreUnreachable bool   // set if the store does not answer the sender
-	Sequence         uint64 // rises with each message of a sender
+	Sequence         uint64 // rises with each message of a sender; holds the era of the roster
 	Version          int64  // version of the sender's configuration
-	RosterMark       int64  // mark of the sender's roster: a number that rises with each of its changes
+	RosterMark       int64  // mark of the sender's roster: a number that rises with each of its changes in an era
 	Reports          []balancer.Report
 	Placements       []balancer.Placement
 }
@@ -52,6 +57,19 @@
 	return appendPlacements(b, m.Placements)
 }
 
+// sequenceIn returns a sequence number that holds the era of the sender's roster.
+func sequenceIn(era int64, n uint64) uint64 {
+	if era > maxEra {
+		era = 0
+	}
+	return uint64(era)<<eraShift | n&(1<<eraShift-1)
+}
+
+// positionIn returns the position of the sender's roster in a datagram.
+func positionIn(sequence uint64, mark int64) roster.Position {
+	return roster.Position{Era: int64(sequence >> eraShift), Mark: mark}
+}
+
 // appendPlacements encodes placements, with hashes in place of the IDs of upstreams.
 func appendPlacements(b []byte, placements []balancer.Placement) []byte {
 	placements = placements[:min(len(placements), maxEntries)]
--- a/exchange/digestsend.go
+++ b/exchange/digestsend.go
@@ -15,13 +15,14 @@
 
 // head returns a digest with the values that all digests have.
 func (s *Service) head(format byte) digest {
+	position := s.Position()
 	d := digest{
-		Format: format, Sender: s.Self, State: s.state(), StoreUnreachable: s.StoreUnreachable(), Version: s.Version(), RosterMark: s.RosterMark(), Parts: 1,
+		Format: format, Sender: s.Self, State: s.state(), StoreUnreachable: s.StoreUnreachable(), Version: s.Version(), RosterMark: position.Mark, Parts: 1,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
-	d.Sequence = s.sequence
+	d.Sequence = sequenceIn(position.Era, s.sequence)
 	return d
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -77,11 +77,10 @@
 	Roster func() *roster.Roster
 	// EngineMemory returns the memory of an upstream's engine in tokens.
 	EngineMemory func(upstream string) (int, bool)
-	// Version and RosterMark return the version of the configuration and the mark
-	// of the roster that this instance has. A mark rises with each change of the
-	// roster.
-	Version    func() int64
-	RosterMark func() int64
+	// Version and Position return the version of the configuration and the position of
+	// the roster that this instance has.
+	Version  func() int64
+	Position func() roster.Position
 	// StoreUnreachable reports whether the store does not answer this instance.
 	StoreUnreachable func() bool
 	// News returns the members that changed recently, and MergeNews applies those of
@@ -89,8 +88,9 @@
 	News         func() []member.Member
 	MergeNews    func(news []member.Member)
 	FetchMembers func(peerAddress string)
-	// OnReport is called with the version and the roster mark that a peer reports.
-	OnReport func(peerAddress string, version, rosterMark int64)
+	// OnReport is called with the version and the position of the roster that a peer
+	// reports.
+	OnReport func(peerAddress string, version int64, position roster.Position)
 	Facts    Facts  // facts about prompt parts; nil if they are not shared
 	Limits   Limits // limits of upstreams; nil if they are not shared
 	Log      logrus.FieldLogger
@@ -204,17 +204,18 @@
 
 // sendReport sends the report of this instance to a peer.
 func (s *Service) sendReport(to member.Member, reports []balancer.Report, placements bool) {
+	position := s.Position()
 	m := message{
 		Sender:           s.Self,
 		State:            s.state(),
 		StoreUnreachable: s.StoreUnreachable(),
 		Version:          s.Version(),
-		RosterMark:       s.RosterMark(),
+		RosterMark:       position.Mark,
 		Reports:          reports,
 	}
 	s.mu.Lock()
 	s.sequence++
-	m.Sequence = s.sequence
+	m.Sequence = sequenceIn(position.Era, s.sequence)
 	if placements {
 		m.Placements = s.own.unsent(to.Name, maxSentPlacements)
 	}
@@ -344,7 +345,7 @@
 		m.Reports = nil
 	}
 	s.Picker.ApplyReport(now, m.Sender, m.Reports, m.Placements, s.EngineMemory)
-	s.OnReport(from.Peer, m.Version, m.RosterMark)
+	s.OnReport(from.Peer, m.Version, positionIn(m.Sequence, m.RosterMark))
 }
 
 // recordReport records the state in a datagram of an instance. It reports false if a
--- /dev/null
+++ b/exchange/position_test.go
@@ -0,0 +1,33 @@
+package exchange
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"knapweedwell/roster"
+)
+
+// TestPositionInDatagram sends the position of a roster and reads it again. An earlier build,
+// which knows no eras, sends and reads the plain mark.
+func TestPositionInDatagram(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		position roster.Position
+		want     roster.Position
+	}{
+		{"without an era", roster.Position{Mark: 300 << 8}, roster.Position{Mark: 300 << 8}},
+		{"with an era", roster.Position{Era: 7, Mark: 300 << 8}, roster.Position{Era: 7, Mark: 300 << 8}},
+		{"with too high an era", roster.Position{Era: maxEra + 1, Mark: 5}, roster.Position{Mark: 5}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m, err := decode(encode(message{Sender: "entry-1", Sequence: sequenceIn(c.position.Era, 9), RosterMark: c.position.Mark}))
+			assert.NilError(t, err)
+			assert.Equal(t, positionIn(m.Sequence, m.RosterMark), c.want)
+			d, err := decodeDigest(encodeDigest(digest{Format: noticeFormat, Sender: "entry-1", Sequence: sequenceIn(c.position.Era, 9), RosterMark: c.position.Mark, Parts: 1}))
+			assert.NilError(t, err)
+			assert.Equal(t, positionIn(d.Sequence, d.RosterMark), c.want)
+		})
+	}
+	assert.Assert(t, sequenceIn(2, 1) > sequenceIn(1, 1<<31), "the number must rise with the era")
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,6 +1,6 @@
 // Package follow follows the objects of one kind in the platform's store: it
 // lists them, watches for changes, and lists them again when the store no
-// longer has the history.
+// longer has the history or has come back from a copy.
 package follow
 
 import (
@@ -67,6 +67,7 @@
 	mu          sync.Mutex
 	lastAnswer  time.Time // when the store last answered
 	synced      int64     // revision up to which all changes are known
+	era         int64     // of the revision
 	outageStart time.Time // when the store stopped answering; zero while it answers
 	group       background.Group
 
@@ -94,11 +95,11 @@
 	return f.lastAnswer
 }
 
-// Synced returns the revision up to which all changes of the kind are known.
-func (f *Follower) Synced() int64 {
+// Synced returns the revision up to which all changes of the kind are known, and its era.
+func (f *Follower) Synced() (era, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.synced
+	return f.era, f.synced
 }
 
 // Idle reports whether this instance is updated by its peers only.
@@ -128,7 +129,7 @@
 			retry.Reset()
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
-			f.recordAnswer(0)
+			f.recordAnswer(0, 0)
 			f.Log.WithField("Kind", f.Kind).Info("the store no longer has the history; listing again")
 			continue
 		case errors.Is(err, platform.ErrTooLarge) && !f.behind:
@@ -153,19 +154,19 @@
 // listOrWatch lists the objects if no revision is known yet or changes may have been
 // missed for long, and watches for changes otherwise.
 func (f *Follower) listOrWatch(ctx context.Context) error {
-	after := f.Synced()
+	era, after := f.Synced()
 	if after != 0 && f.Idle() {
 		f.behind = true
 		sleep(ctx, rolePollPeriod)
 		return nil
 	}
-	if after == 0 || f.behind {
+	if after == 0 || f.behind || f.Platform.Era() != era {
 		l, err := f.Platform.List(ctx, f.Kind)
 		if err != nil {
 			return err
 		}
 		f.behind = false
-		f.recordAnswer(l.Revision)
+		f.recordAnswer(l.Era, l.Revision)
 		f.OnList(l)
 		return nil
 	}
@@ -173,7 +174,11 @@
 	if err != nil {
 		return err
 	}
-	f.recordAnswer(c.Revision)
+	if c.Era != era {
+		// Its changes are those since a revision that has been given out again.
+		return nil
+	}
+	f.recordAnswer(c.Era, c.Revision)
 	if len(c.Events) > 0 {
 		f.OnChange(c)
 		sleep(ctx, collectTime)
@@ -204,14 +209,18 @@
 
 // recordAnswer records an answer of the store and the revision in it. It ends
 // an outage.
-func (f *Follower) recordAnswer(revision int64) {
+func (f *Follower) recordAnswer(era, revision int64) {
 	now := time.Now()
 	f.mu.Lock()
-	outageStart := f.outageStart
+	outageStart, eraBefore := f.outageStart, f.era
 	f.outageStart = time.Time{}
 	f.lastAnswer = now
 	f.synced = revision
+	f.era = max(era, eraBefore)
 	f.mu.Unlock()
+	if era > eraBefore && eraBefore > 0 {
+		f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "Era": era, "Before": eraBefore, "Revision": revision}).Warn("the store came back from a copy; listed again")
+	}
 	if outageStart.IsZero() {
 		return
 	}
@@ -224,9 +233,10 @@
 // recordFailure records a failed call. The first one starts an outage.
 func (f *Follower) recordFailure(err error) {
 	f.mu.Lock()
+	now := time.Now()
 	first := f.outageStart.IsZero()
 	if first {
-		f.outageStart = time.Now()
+		f.outageStart = now
 	}
 	f.mu.Unlock()
 	if !first {
--- a/roster/departure.go
+++ b/roster/departure.go
@@ -36,8 +36,9 @@
 	}
 }
 
-// leaves reports whether an upstream leaves according to its entry or to itself.
+// leaves reports whether an upstream leaves according to its entry or to itself, or whether
+// that is in doubt.
 func (l *entryList) leaves(e *route.Upstream) bool {
 	d, ok := l.departures[e.ID]
-	return e.Leaving || (ok && d.born == e.Born)
+	return e.Leaving || (ok && d.born == e.Born) || l.doubted[e.ID]
 }
--- a/roster/departure_test.go
+++ b/roster/departure_test.go
@@ -22,8 +22,8 @@
 	for name, list := range map[string]func(l *entryList, now time.Time, e *route.Upstream){
 		"listed":  func(l *entryList, now time.Time, e *route.Upstream) { l.replaceAll(now, 9, []*route.Upstream{e}) },
 		"changed": func(l *entryList, _ time.Time, e *route.Upstream) { l.commit(9, l.put(e)) },
-		"fetched": func(l *entryList, _ time.Time, e *route.Upstream) {
-			l.applyFetched(fetchReply{Mark: l.mark + 1, Entries: []route.Upstream{*e}})
+		"fetched": func(l *entryList, now time.Time, e *route.Upstream) {
+			l.applyFetched(now, fetchReply{Mark: l.mark + 1, Entries: []route.Upstream{*e}})
 		},
 		"removed and listed": func(l *entryList, now time.Time, e *route.Upstream) { l.remove(now, e.ID); l.commit(9, l.put(e)) },
 	} {
--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -31,7 +31,15 @@
 	// departures are the statements that upstreams have made to this instance, by their
 	// IDs. They hold whatever the store and the peers list.
 	departures map[string]departure
-	// mark rises with each change. It is the revision of the store, shifted by
+	// gone holds the entries that were removed in this era, goneBefore those of the era
+	// before until the first list of this one.
+	gone       goneEntries
+	goneBefore goneEntries
+	doubted    map[string]bool // IDs of entries that may be listed from an old copy only
+	doubtUntil time.Time
+	era        int64 // of the store's revisions in mark and revision
+	restored   bool  // an earlier era was known
+	// mark rises with each change in an era. It is the revision of the store, shifted by
 	// localMarkBits, plus the number of local changes since that revision.
 	mark int64
 	// revision is that of the store up to which the list holds all changes; zero if that is
@@ -40,6 +48,7 @@
 	retainUntil   time.Time // end of the retention period
 	changes       []change  // most recent changes, the oldest first
 	completeAfter int64     // mark after which changes is complete
+	unlisted      bool      // no complete list has been applied in this era
 }
 
 // change is one entry that changed.
@@ -49,7 +58,9 @@
 }
 
 func newEntryList() *entryList {
-	return &entryList{entries: map[string]*route.Upstream{}, retained: map[string]bool{}, departures: map[string]departure{}}
+	return &entryList{
+		entries: map[string]*route.Upstream{}, retained: map[string]bool{}, departures: map[string]departure{}, unlisted: true,
+	}
 }
 
 // storeReturned starts a retention period. It is called when the store answers
@@ -70,7 +81,12 @@
 	if l.outdated(revision) {
 		return false
 	}
-	return l.commit(revision, l.reconcile(now, entries))
+	first := l.unlisted
+	if first {
+		l.doubt(entries)
+	}
+	changed := l.reconcile(now, entries)
+	return l.commit(revision, changed || first)
 }
 
 // reconcile makes the entries equal to a complete list. It reports whether
@@ -112,13 +128,22 @@
 
 // applyFetched applies the answer of a peer. It reports whether the answer
 // is newer than the list.
-func (l *entryList) applyFetched(f fetchReply) bool {
-	if f.Mark <= l.mark {
+func (l *entryList) applyFetched(now time.Time, f fetchReply) bool {
+	position := l.resolve(Position{Era: f.Era, Mark: f.Mark})
+	if !l.position().Before(position) || (position.Era > l.era && !f.Whole) {
 		return false
 	}
+	l.startEra(now, position.Era)
+	if l.unlisted && f.Whole {
+		l.doubt(pointers(f.Entries))
+	}
 	kept := map[string]bool{}
 	for i := range f.Entries {
-		l.put(&f.Entries[i])
+		if f.Whole {
+			l.put(&f.Entries[i])
+		} else {
+			l.written(&f.Entries[i])
+		}
 		kept[f.Entries[i].ID] = true
 	}
 	// The peer has retained an entry itself before it reports the removal.
@@ -145,6 +170,10 @@
 // setMark sets the mark of the list and of the changes since the last call.
 func (l *entryList) setMark(mark int64) {
 	l.mark = mark
+	if l.unlisted {
+		l.unlisted = false
+		l.completeAfter = mark
+	}
 	for i := len(l.changes) - 1; i >= 0 && l.changes[i].mark == 0; i-- {
 		l.changes[i].mark = mark
 	}
@@ -154,6 +183,15 @@
 	}
 }
 
+// pointers returns pointers to entries.
+func pointers(entries []route.Upstream) []*route.Upstream {
+	all := make([]*route.Upstream, len(entries))
+	for i := range entries {
+		all[i] = &entries[i]
+	}
+	return all
+}
+
 // logChange logs the change of an entry. setMark sets the mark of the change.
 func (l *entryList) logChange(id string) {
 	l.changes = append(l.changes, change{id: id})
@@ -191,11 +229,21 @@
 	if old != nil && *old == *e && !wasRetained {
 		return false
 	}
+	if old != nil && *old != *e {
+		delete(l.doubted, e.ID)
+	}
 	l.entries[e.ID] = e
 	l.logChange(e.ID)
 	return true
 }
 
+// written is put for an entry that was written in this era.
+func (l *entryList) written(e *route.Upstream) bool {
+	doubted := l.doubted[e.ID]
+	delete(l.doubted, e.ID)
+	return l.put(e) || doubted
+}
+
 // remove removes an entry, or retains it during a retention period unless it
 // was leaving. It reports whether the entry was removed.
 func (l *entryList) remove(now time.Time, id string) bool {
@@ -213,12 +261,16 @@
 
 // deleteEntry deletes an entry and logs the change.
 func (l *entryList) deleteEntry(id string) {
-	if e := l.entries[id]; e != nil && e.Born == 0 {
-		// Its next incarnation could not be told from this one.
-		delete(l.departures, id)
+	if e := l.entries[id]; e != nil {
+		l.gone.add(e)
+		if e.Born == 0 {
+			// Its next incarnation could not be told from this one.
+			delete(l.departures, id)
+		}
 	}
 	delete(l.entries, id)
 	delete(l.retained, id)
+	delete(l.doubted, id)
 	l.logChange(id)
 }
 
@@ -245,5 +297,5 @@
 		}
 		entries[id] = e
 	}
-	return newRoster(l.mark, entries)
+	return newRoster(l.position(), entries)
 }
--- a/roster/entrylist_test.go
+++ b/roster/entrylist_test.go
@@ -98,7 +98,7 @@
 			f.Entries = append(f.Entries, *e)
 		}
 	}
-	copied.applyFetched(f)
+	copied.applyFetched(time.Unix(1000, 0), f)
 }
 
 // TestFetchedRemovalWhileRetaining applies the removal of an entry by a peer in
@@ -108,7 +108,7 @@
 	l, now := newEntryList(), time.Unix(1000, 0)
 	l.replaceAll(now, 5, []*route.Upstream{entry("a", false), entry("b", false)})
 	l.storeReturned(now)
-	assert.Assert(t, l.applyFetched(fetchReply{Mark: 9 << localMarkBits, Removed: []string{"a"}}))
+	assert.Assert(t, l.applyFetched(now, fetchReply{Mark: 9 << localMarkBits, Removed: []string{"a"}}))
 	assert.Assert(t, !l.snapshot().Accepts("a"))
 }
 
@@ -138,7 +138,7 @@
 	now := time.Unix(1000, 0)
 	l := newEntryList()
 	l.replaceAll(now, 5, []*route.Upstream{entry("a", false), entry("b", false)})
-	assert.Assert(t, l.applyFetched(fetchReply{
+	assert.Assert(t, l.applyFetched(now, fetchReply{
 		Mark: 9 << localMarkBits, Revision: 9, Whole: true, Entries: []route.Upstream{*entry("a", true), *entry("c", false)},
 	}))
 	l.replaceAll(now, 7, []*route.Upstream{entry("a", false), entry("b", false)})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,18 +10,33 @@
 	"knapweedwell/route"
 )
 
+// Position orders the states of rosters: by the era of the store, and by the mark within an
+// era. The era is zero if the store, or an instance of an earlier build, names none.
+type Position struct {
+	Era  int64
+	Mark int64
+}
+
+// Before reports whether a state with position p is older than one with position o.
+func (p Position) Before(o Position) bool {
+	if p.Era != o.Era {
+		return p.Era < o.Era
+	}
+	return p.Mark < o.Mark
+}
+
 // Roster is the list of upstreams at one time. It is not changed once it is
 // published.
 type Roster struct {
-	Mark    int64 // mark of its newest change
-	Entries map[string]*route.Upstream
+	Position Position // of its newest change
+	Entries  map[string]*route.Upstream
 
 	pools map[string][]*route.Upstream
 }
 
 // newRoster returns a roster of the entries.
-func newRoster(mark int64, entries map[string]*route.Upstream) *Roster {
-	r := &Roster{Mark: mark, Entries: entries, pools: map[string][]*route.Upstream{}}
+func newRoster(position Position, entries map[string]*route.Upstream) *Roster {
+	r := &Roster{Position: position, Entries: entries, pools: map[string][]*route.Upstream{}}
 	for _, e := range entries {
 		if !e.Leaving {
 			r.pools[e.Pool] = append(r.pools[e.Pool], e)
--- a/roster/service.go
+++ b/roster/service.go
@@ -72,6 +72,7 @@
 	}
 	s.group.Every(dropPeriod, func(_ context.Context, now time.Time) {
 		s.update(false, func(l *entryList) bool { return l.dropRetained(now) })
+		s.update(false, func(l *entryList) bool { return l.endDoubts(now) })
 	})
 	return s.follower.Run(k)
 }
@@ -89,12 +90,12 @@
 	return s.current.Load()
 }
 
-// Mark returns the mark of the newest change known.
-func (s *Service) Mark() int64 {
+// Position returns the position of the newest change known.
+func (s *Service) Position() Position {
 	if r := s.Current(); r != nil {
-		return r.Mark
+		return r.Position
 	}
-	return 0
+	return Position{}
 }
 
 // StoreUnreachable reports whether the store does not answer this instance.
@@ -113,7 +114,7 @@
 	r := s.list.snapshot()
 	s.current.Store(r)
 	s.mu.Unlock()
-	s.Log.WithFields(logrus.Fields{"Mark": r.Mark, "Upstreams": len(r.Entries), "Leaving": r.Leaving()}).Info("roster changed")
+	s.Log.WithFields(logrus.Fields{"Era": r.Position.Era, "Mark": r.Position.Mark, "Upstreams": len(r.Entries), "Leaving": r.Leaving()}).Info("roster changed")
 	if s.OnChange != nil {
 		s.OnChange(r)
 	}
@@ -144,12 +145,18 @@
 			entries = append(entries, e)
 		}
 	}
-	s.update(true, func(l *entryList) bool { return l.replaceAll(time.Now(), listing.Revision, entries) })
+	s.update(true, func(l *entryList) bool {
+		if listing.Era < l.era {
+			return false
+		}
+		l.startEra(time.Now(), listing.Era)
+		return l.replaceAll(time.Now(), listing.Revision, entries)
+	})
 }
 
 func (s *Service) applyChanges(c platform.Changes) {
 	s.update(false, func(l *entryList) bool {
-		if l.outdated(c.Revision) {
+		if c.Era != l.era || l.outdated(c.Revision) {
 			return false
 		}
 		changed := false
@@ -166,7 +173,7 @@
 				changed = l.remove(time.Now(), ev.Object.Name) || changed
 				continue
 			}
-			changed = l.put(e) || changed
+			changed = l.written(e) || changed
 		}
 		return l.commit(c.Revision, changed)
 	})
@@ -184,24 +191,34 @@
 }
 
 // FetchNewer fetches the changes from the peer at the address, which has the given
-// newer mark, unless the watch delivers them first.
-func (s *Service) FetchNewer(address string, mark int64) {
+// position, if that is newer, unless the watch delivers them first.
+func (s *Service) FetchNewer(address string, p Position) {
 	waitForWatch := s.Current() != nil && !s.StoreUnreachable() && !s.follower.Idle()
-	s.fetcher.Fetch(waitForWatch, func() bool { return s.behind(mark) }, func(ctx context.Context) { s.fetch(ctx, address) })
+	s.fetcher.Fetch(waitForWatch, func() bool { return s.behind(p) }, func(ctx context.Context) { s.fetch(ctx, address) })
 }
 
-// behind reports whether this instance lacks a change with the mark.
-func (s *Service) behind(mark int64) bool {
-	return mark > s.Mark() && (mark>>localMarkBits > s.follower.Synced() || s.follower.Idle())
+// behind reports whether this instance lacks a change with the position.
+func (s *Service) behind(p Position) bool {
+	s.mu.Lock()
+	p = s.list.resolve(p)
+	s.mu.Unlock()
+	if !s.Position().Before(p) {
+		return false
+	}
+	era, revision := s.follower.Synced()
+	return s.follower.Idle() || Position{Era: era, Mark: revision}.Before(Position{Era: p.Era, Mark: p.Mark >> localMarkBits})
 }
 
-// fetchRequest asks a peer for the changes after a mark.
+// fetchRequest asks a peer for the changes after a mark of an era. Earlier builds send no
+// era.
 type fetchRequest struct {
+	Era   int64
 	After int64
 }
 
 // fetchReply is a peer's answer to a fetchRequest.
 type fetchReply struct {
+	Era      int64 // zero from earlier builds
 	Mark     int64
 	Revision int64 // of the store up to which the peer has all changes; zero from earlier builds
 	Whole    bool  // Entries are all entries of the peer, not only the changed ones
@@ -211,11 +228,12 @@
 
 func (s *Service) fetch(ctx context.Context, address string) {
 	var f fetchReply
-	if err := follow.CallPeer(ctx, s.Peers, address, fetchMethod, fetchRequest{After: s.Mark()}, &f); err != nil {
+	own := s.Position()
+	if err := follow.CallPeer(ctx, s.Peers, address, fetchMethod, fetchRequest{Era: own.Era, After: own.Mark}, &f); err != nil {
 		s.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("roster was not fetched from a peer")
 		return
 	}
-	s.update(false, func(l *entryList) bool { return l.applyFetched(f) })
+	s.update(false, func(l *entryList) bool { return l.applyFetched(time.Now(), f) })
 }
 
 func (s *Service) serveFetch(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -225,9 +243,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := fetchReply{Mark: s.list.mark, Revision: s.list.revision}
+	f := fetchReply{Era: s.list.era, Mark: s.list.mark, Revision: s.list.revision}
 	entries, removed, ok := s.list.changesAfter(req.After)
-	if ok {
+	if asked := s.list.resolve(Position{Era: req.Era}); ok && asked.Era == s.list.era {
 		f.Entries, f.Removed = entries, removed
 		return f, nil
 	}
--- /dev/null
+++ b/simulation/edge_restore_test.go
@@ -0,0 +1,84 @@
+package simulation
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"knapweedwell/edge"
+	"knapweedwell/standin/platform"
+)
+
+// raiseRevision makes n changes in the store that concern no instance.
+func (sim *routeSimulation) raiseRevision(n int) {
+	for i := range n {
+		sim.store.Put("other", "object", i)
+	}
+}
+
+// accepted reports whether all instances use an upstream.
+func (sim *routeSimulation) accepted(id string) bool {
+	return !slices.ContainsFunc(sim.instances, func(i *edge.Instance) bool { return !i.Roster.Current().Accepts(id) })
+}
+
+// rejected reports whether no instance uses an upstream.
+func (sim *routeSimulation) rejected(id string) bool {
+	return !slices.ContainsFunc(sim.instances, func(i *edge.Instance) bool { return i.Roster.Current().Accepts(id) })
+}
+
+// TestRestoredStoreChangesUpstreams guards against instances that miss changes of upstreams
+// for good after the store came back from a copy.
+func TestRestoredStoreChangesUpstreams(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		raised int // changes in the store's outage after it was restored
+	}{{"lower revision", 0}, {"revision given out again", 90}} {
+		t.Run(c.name, func(t *testing.T) {
+			simulateRoutes(t, 4, func(sim *routeSimulation) {
+				time.Sleep(time.Second)
+				sim.raiseRevision(60)
+				sim.putEntryBorn("calls-2", "calls", "ready", 1, 9)
+				time.Sleep(2 * time.Second)
+				sim.store.SetFaults(platform.Faults{Outage: true})
+				sim.store.Restore(2500*time.Millisecond, 0)
+				time.Sleep(500 * time.Millisecond)
+				sim.startRunner("calls-new", "calls")
+				sim.store.Delete("servers", "calls-0")
+				sim.raiseRevision(c.raised)
+				sim.store.SetFaults(platform.Faults{})
+				sim.eventually(4*time.Second, "the new upstream is used and the one that is gone is not", func() bool {
+					return sim.accepted("calls-new") && sim.rejected("calls-0")
+				})
+				sim.store.Delete("servers", "calls-1")
+				sim.eventually(time.Second, "a later change is learned", func() bool { return sim.rejected("calls-1") })
+			})
+		})
+	}
+}
+
+// TestRestoredStoreRevivesNoUpstream guards against new work for upstreams that leave or are
+// gone and that an old copy of the store lists as ready.
+func TestRestoredStoreRevivesNoUpstream(t *testing.T) {
+	simulateRoutes(t, 4, func(sim *routeSimulation) {
+		time.Sleep(time.Second)
+		sim.putEntry("calls-0", "calls", "draining")
+		sim.store.Delete("servers", "calls-1")
+		time.Sleep(time.Second)
+		sim.store.Restore(1500*time.Millisecond, -1)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			for _, id := range []string{"calls-0", "calls-1"} {
+				if !sim.rejected(id) {
+					t.Fatalf("%s is used again", id)
+				}
+			}
+		}
+		if !sim.accepted("calls-2") {
+			t.Error("calls-2 is not used")
+		}
+		sim.store.Put("servers", "calls-1", map[string]any{
+			"service": "calls", "address": sim.hosts["calls-1"] + ":80", "zone": "z0", "version": "v2", "slots": 8, "state": "ready", "born": 2,
+		})
+		sim.eventually(time.Second, "the next incarnation is used", func() bool { return sim.accepted("calls-1") })
+	})
+}
