Write the entry of an instance again after the store came back from a copy

Cause: an instance wrote its entry once and believed for good that it was listed. One that started in the seconds which the store then lost was not in the list that newcomers, and instances cut off from all others, read. Class: what was written is believed to last in every era of the store.

Change: the entry holds for the era in which it was written or read; in a later one, known by a call or by a peer, it is written again.

Evidence: TestRestoredStoreListsInstance fails before and passes now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -120,6 +120,7 @@
 	// Here the revision of the heartbeat is the version of the route table.
 	i.Heartbeats.Revision = func() int64 { return i.Routing.Version() }
 	i.Heartbeats.OnNewerRevision = func(address string, version int64) { i.Routing.FetchNewer(address, version) }
+	i.Heartbeats.StoreEra = i.storeEra
 	i.Heartbeats.Prepare()
 	i.Heartbeats.With(func(v *member.View) { v.Renumber = true })
 }
--- a/heartbeat/list.go
+++ b/heartbeat/list.go
@@ -59,7 +59,7 @@
 // joinLoop contacts seeds that are not known yet and the instances that the
 // store lists, and registers this instance in the store.
 func (s *Service) joinLoop(ctx context.Context) {
-	var registered bool
+	var registered registration
 	var lastRead time.Time
 	for {
 		s.join(ctx)
@@ -67,9 +67,7 @@
 			lastRead = time.Now()
 		}
 		s.updateLeaving()
-		if !registered {
-			registered = s.register(ctx)
-		}
+		s.registerIn(ctx, &registered)
 		if time.Since(lastRead) > s.listInterval() && s.readList(ctx) {
 			lastRead = time.Now()
 		}
@@ -81,6 +79,37 @@
 	}
 }
 
+// registration is what this instance believes of its entry in the store.
+type registration struct {
+	done bool
+	era  int64 // of the store when the entry was written or read
+}
+
+// registerIn writes the entry of this instance to the store, unless that was done in the
+// present era. A store that came back from a copy may lack it.
+func (s *Service) registerIn(ctx context.Context, r *registration) {
+	era := s.storeEra()
+	if r.done && r.era == era {
+		return
+	}
+	if r.done {
+		s.Log.WithFields(logrus.Fields{"Era": era, "Before": r.era}).Info("the store came back from a copy: the entry of this instance is written again")
+	}
+	r.done = s.register(ctx)
+	if era == 0 {
+		era = s.storeEra() // as this first call has told
+	}
+	r.era = era
+}
+
+// storeEra returns the era of the store, zero if it is not known.
+func (s *Service) storeEra() int64 {
+	if s.StoreEra == nil {
+		return 0
+	}
+	return s.StoreEra()
+}
+
 // joinedEstablished reports whether the members were fetched from a fleet that has
 // been running for a while, so that the list would add none.
 func (s *Service) joinedEstablished() bool {
--- a/simulation/edge_restore_test.go
+++ b/simulation/edge_restore_test.go
@@ -1,11 +1,13 @@
 package simulation
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
 
 	"knapweedwell/edge"
+	adapter "knapweedwell/platform"
 	"knapweedwell/standin/platform"
 )
 
@@ -82,3 +84,24 @@
 		sim.eventually(time.Second, "the next incarnation is used", func() bool { return sim.accepted("calls-1") })
 	})
 }
+
+// TestRestoredStoreListsInstance guards against an instance that started in the seconds which
+// the store has lost and that is not listed any more.
+func TestRestoredStoreListsInstance(t *testing.T) {
+	simulateRoutes(t, 3, func(sim *routeSimulation) {
+		time.Sleep(time.Second)
+		sim.startInstance(3)
+		time.Sleep(3 * time.Second)
+		sim.store.Restore(3500*time.Millisecond, 0)
+		client := adapter.New(platformAddress, sim.network.dialer("10.9.0.2"))
+		defer func() { _ = client.Close() }()
+		listed := func() bool {
+			l, err := client.List(context.Background(), "instances")
+			return err == nil && slices.ContainsFunc(l.Objects, func(o adapter.Object) bool { return o.Name == "entry-4" })
+		}
+		if listed() {
+			t.Fatal("the copy holds the instance already")
+		}
+		sim.eventually(5*time.Second, "the instance is listed again", listed)
+	})
+}
