End no verdict because the store came back from a copy without it

What callers would see: a part of a prompt that crashes upstreams is let through again at all instances, as if an operator had deleted the verdict.

Cause: a verdict that was written in the seconds which the store then lost is missing in the next list, and its remembered revision is below the list's, so that it counted as deleted by an operator and was released everywhere. The other way round, a verdict that had ended came back with the copy and stayed.

Change: what is known of the object of a verdict names the era; an object of an earlier era is unknown, written again, and updated or deleted only after a read. An instance that follows the store reads the kind again in a new era.

Evidence: TestRestoredStoreEndsNoVerdict and TestRestoredVerdictDeletedAgain fail before and pass now.

--- a/verdictstore/service.go
+++ b/verdictstore/service.go
@@ -62,6 +62,7 @@
 	stored   map[uint64]*record // verdicts that are stored or are to be, by the part
 	trials   map[uint64]trial   // answers of the store that still hold, by the part
 	lastRead time.Time
+	readEra  int64 // of the store at the last read
 	group    background.Group
 }
 
@@ -69,6 +70,7 @@
 type record struct {
 	verdict  quarantine.Convicted // as stored
 	revision int64                // zero if it is not known to be stored
+	era      int64                // of the store when it was
 	seen     bool                 // the facts of this instance had the verdict
 	backoff  time.Duration        // after the last failed write, zero if it succeeded
 	nextTry  time.Time
@@ -164,7 +166,7 @@
 		for _, part := range s.ended(now, verdicts) {
 			s.remove(ctx, part)
 		}
-		if s.readDue(now, readPeriod) {
+		if s.readDue(now, readPeriod) || s.eraChanged() {
 			s.readAgain(ctx)
 		}
 	}
@@ -197,7 +199,7 @@
 	if !now.Before(v.Until) || now.Before(r.nextTry) {
 		return false
 	}
-	return r.revision == 0 || v.Until.Sub(r.verdict.Until) > endTolerance
+	return r.revision == 0 || r.era != s.Platform.Era() || v.Until.Sub(r.verdict.Until) > endTolerance
 }
 
 // recordOf returns the record of a part and creates it if necessary. The caller holds
@@ -239,6 +241,14 @@
 	return len(s.stored) > 0 && now.Sub(s.lastRead) >= period
 }
 
+// eraChanged reports whether the store has come back from a copy since the last read, so
+// that verdicts which were deleted may be stored again.
+func (s *Service) eraChanged() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readEra != 0 && s.readEra != s.Platform.Era()
+}
+
 func (s *Service) lastReadAt() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/verdictstore/store.go
+++ b/verdictstore/store.go
@@ -22,8 +22,9 @@
 // whether the store answered.
 func (s *Service) write(ctx context.Context, v quarantine.Convicted) bool {
 	now := time.Now()
+	era := s.Platform.Era()
 	s.mu.Lock()
-	revision := s.recordOf(v.Part).revision
+	revision := s.recordOf(v.Part).revisionIn(era)
 	s.mu.Unlock()
 	stored, written, err := s.put(ctx, now, v, revision)
 	if err != nil {
@@ -32,7 +33,7 @@
 	}
 	s.mu.Lock()
 	r := s.recordOf(v.Part)
-	r.verdict, r.revision, r.backoff = stored.Verdict, stored.Revision, 0
+	r.verdict, r.revision, r.era, r.backoff = stored.Verdict, stored.Revision, era, 0
 	s.mu.Unlock()
 	if written {
 		s.Log.WithFields(fields(now, v)).Info("verdict on a prompt part stored")
@@ -85,8 +86,9 @@
 
 // remove deletes the object of a verdict that has ended.
 func (s *Service) remove(ctx context.Context, part uint64) {
+	era := s.Platform.Era()
 	s.mu.Lock()
-	revision := s.recordOf(part).revision
+	revision := s.recordOf(part).revisionIn(era)
 	s.mu.Unlock()
 	err := s.deleteObject(ctx, quarantine.PartName(part), revision)
 	gone := err == nil || errors.Is(err, platform.ErrNotFound)
@@ -107,8 +109,17 @@
 	entry.WithField("Error", err.Error()).Warn("verdict on a prompt part could not be deleted from the store yet")
 }
 
+// revisionIn returns the revision of the object in an era of the store, zero if it is not
+// known to be stored in it.
+func (r *record) revisionIn(era int64) int64 {
+	if r.era != era {
+		return 0
+	}
+	return r.revision
+}
+
 // deleteObject deletes the object with the revision. Revision zero means that the answer
-// to its write was lost.
+// to its write was lost or that the store has come back from a copy since.
 func (s *Service) deleteObject(ctx context.Context, name string, revision int64) error {
 	if revision == 0 {
 		o, err := s.Platform.Get(ctx, platform.VerdictKind, name)
@@ -128,6 +139,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.readEra = l.Era
+	s.mu.Unlock()
 	s.applyList(ctx, l)
 	return nil
 }
@@ -161,35 +175,35 @@
 			s.Log.WithFields(fields(now, v.Verdict)).WithField("Source", "store").Warn("verdict on a prompt part learned")
 		}
 		facts = append(facts, v.Verdict)
-		s.recordListed(v)
+		s.recordListed(v, l.Era)
 	}
 	if len(facts) > 0 {
 		s.Verdicts.Apply(now, facts)
 	}
-	for _, part := range s.missing(now, known, listed, l.Revision) {
+	for _, part := range s.missing(now, known, listed, l) {
 		s.checkDeleted(ctx, part)
 	}
 }
 
-// recordListed records that a verdict is stored, unless a later revision is known.
-func (s *Service) recordListed(v platform.StoredVerdict) {
+// recordListed records that a verdict is stored in an era, unless a later revision is known.
+func (s *Service) recordListed(v platform.StoredVerdict, era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.recordOf(v.Verdict.Part)
-	if v.Revision > r.revision {
-		r.verdict, r.revision, r.seen, r.backoff = v.Verdict, v.Revision, true, 0
+	if era > r.era || v.Revision > r.revision {
+		r.verdict, r.revision, r.era, r.seen, r.backoff = v.Verdict, v.Revision, era, true, 0
 	}
 }
 
-// missing returns the parts with a verdict in force that is stored but not in a list of
-// the revision.
-func (s *Service) missing(now time.Time, known map[uint64]quarantine.Convicted, listed map[uint64]bool, revision int64) []uint64 {
+// missing returns the parts with a verdict in force that is stored but not in a list. One
+// that was stored in an earlier era of the store may be lost and is no such verdict.
+func (s *Service) missing(now time.Time, known map[uint64]quarantine.Convicted, listed map[uint64]bool, l platform.Listing) []uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var parts []uint64
 	for part, r := range s.stored {
 		v, ok := known[part]
-		if ok && !listed[part] && now.Before(v.Until) && r.revision > 0 && r.revision <= revision {
+		if ok && !listed[part] && now.Before(v.Until) && r.era == l.Era && r.revision > 0 && r.revision <= l.Revision {
 			parts = append(parts, part)
 		}
 	}
--- a/verdictstore/trial.go
+++ b/verdictstore/trial.go
@@ -69,6 +69,7 @@
 // takeTrial records in the store that this instance tries a part, unless another one does.
 func (s *Service) takeTrial(ctx context.Context, now time.Time, part uint64) (trial, error) {
 	undecided := trial{end: now.Add(askAgainTime)}
+	era := s.Platform.Era()
 	stored, err := s.storedVerdict(ctx, now, part)
 	if err != nil {
 		return undecided, err
@@ -94,7 +95,8 @@
 		return undecided, err
 	}
 	s.mu.Lock()
-	s.recordOf(part).revision = revision
+	r := s.recordOf(part)
+	r.revision, r.era = revision, era
 	s.mu.Unlock()
 	return trial{granted: true, end: stored.TrialEnd}, nil
 }
--- a/verdictstore/verdictstore_test.go
+++ b/verdictstore/verdictstore_test.go
@@ -210,3 +210,46 @@
 	assert.Assert(t, !fl.services[1].Trial(testPart))
 	assert.Equal(t, len(fl.known[1].Verdicts(time.Now())), 1)
 }
+
+// TestRestoredStoreEndsNoVerdict guards against a verdict that ends at all instances because
+// the store came back from a copy without it.
+func TestRestoredStoreEndsNoVerdict(t *testing.T) {
+	fl := newTestFleet(t, 1)
+	ctx, s := context.Background(), fl.services[0]
+	s.start(ctx)
+	fl.convict(0, 10*time.Minute)
+	s.step(ctx)
+	_, ok := fl.stored(t)
+	assert.Assert(t, ok)
+	fl.store.Restore(time.Hour, -1)
+	for i := range 9 {
+		fl.store.Put("other", "object", i)
+	}
+	s.readAgain(ctx)
+	s.step(ctx)
+	assert.Equal(t, len(fl.known[0].Verdicts(time.Now())), 1, "the verdict must hold")
+	_, ok = fl.stored(t)
+	assert.Assert(t, ok, "the verdict must be stored again")
+}
+
+// TestRestoredVerdictDeletedAgain guards against a verdict that has ended and is stored again
+// because the store came back from a copy with it.
+func TestRestoredVerdictDeletedAgain(t *testing.T) {
+	fl := newTestFleet(t, 1)
+	ctx, s := context.Background(), fl.services[0]
+	s.start(ctx)
+	fl.convict(0, 10*time.Minute)
+	s.step(ctx)
+	time.Sleep(600 * time.Millisecond) // the store takes a copy
+	fl.known[0].Apply(time.Now(), []quarantine.Fact{quarantine.Released{Part: testPart, At: time.Now()}})
+	s.step(ctx)
+	_, ok := fl.stored(t)
+	assert.Assert(t, !ok)
+	fl.store.Restore(100*time.Millisecond, -1)
+	_, _ = fl.clients[0].Get(ctx, "other", "object") // tells the era
+	s.step(ctx)
+	s.step(ctx)
+	assert.Equal(t, len(fl.known[0].Verdicts(time.Now())), 0)
+	_, ok = fl.stored(t)
+	assert.Assert(t, !ok, "the verdict must be deleted again")
+}
