Let an instance that the store once failed to answer try again

Cause: the instances that follow the store were turned away for 8 s. The others became Alert one after the other, and each made its one call in the half second in which the store was away for all. Each then counted the store as unreachable and was Idle; an Idle instance makes no call, so that nothing could end the belief. Class: a belief without an age. The same held for instances beyond the first twelve, which never tried, and for those that get tables: only two of each zone tried.

Ruled out: the restore itself (versions of routes are the operator's); peers and aggregators (all had the same old version).

Change: while too few of the instances before it reach the store, an instance that failed tries again 1.5 s after its last failure, and one late in the order tries, too, less often. Logs say since when too few reach it, and how old the own failure is.

Evidence: TestFailureInShortOutageIsForgotten and TestFailedInstanceTriesAgain fail before and pass now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -160,6 +160,7 @@
 		Version:          i.Routing.Version,
 		Position:         i.Roster.Position,
 		StoreUnreachable: i.Roster.StoreUnreachable,
+		LastFailure:      i.Roster.LastFailure,
 		News:             i.Heartbeats.RecentChanges,
 		MergeNews:        i.Heartbeats.MergeNews,
 		FetchMembers:     i.Heartbeats.FetchMembersAsync,
--- a/exchange/changes.go
+++ b/exchange/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -17,6 +18,7 @@
 	rank        int
 	aggregators []string // of the own zone, without this instance
 	role        follow.Role
+	unfollowed  bool // too few of the instances before this one reach the store
 }
 
 // logChanges logs what has changed since the last round.
@@ -26,6 +28,7 @@
 		now.aggregators = append(now.aggregators, m.Name)
 	}
 	s.mu.Lock()
+	now.unfollowed = !s.unfollowedAt.IsZero()
 	before := s.logged
 	s.logged = now
 	silent := s.fleet.silence.Names(s.lastRound)
@@ -38,6 +41,23 @@
 	if now.role != before.role {
 		s.Log.WithFields(logrus.Fields{"Role": now.role.String(), "Before": before.role.String(), "StoreUnreachable": s.StoreUnreachable()}).Info("role towards the store changed")
 	}
+	if now.unfollowed != before.unfollowed {
+		s.logUnfollowed(now)
+	}
+}
+
+// logUnfollowed logs whether enough of the instances before this one reach the store, and
+// when this one last failed to.
+func (s *Service) logUnfollowed(now beliefs) {
+	entry := s.Log.WithFields(logrus.Fields{"Role": now.role.String(), "StoreUnreachable": s.StoreUnreachable()})
+	if at := s.LastFailure(); !at.IsZero() {
+		entry = entry.WithField("FailureAgeMillis", time.Since(at).Milliseconds())
+	}
+	if now.unfollowed {
+		entry.Warn("too few instances before this one reach the store")
+		return
+	}
+	entry.Info("enough instances reach the store again")
 }
 
 // isOwnAggregator reports whether an instance is an aggregator of this zone, this one
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -36,9 +36,9 @@
 	// alertInstances is the number of instances that watch the store with short
 	// waits, so that a lost watch is noticed within one short wait.
 	alertInstances = 2
-	// maxTriedInstances is the number of instances, in the order of Role, that try to
-	// reach a store that does not answer those before them. The others save the
-	// calls: the store is then down for all.
+	// maxTriedInstances is the number of instances, in the order of Role, that try at once
+	// to reach a store that does not answer those before them. The others save calls: the
+	// store is then probably down for all.
 	maxTriedInstances = 12
 	// silenceTimeout is how long nothing may be received from an instance that sends to
 	// all others in each round before it counts as not running.
@@ -81,8 +81,10 @@
 	// the roster that this instance has.
 	Version  func() int64
 	Position func() roster.Position
-	// StoreUnreachable reports whether the store does not answer this instance.
+	// StoreUnreachable reports whether the store did not answer the last call of this
+	// instance, and LastFailure when that was.
 	StoreUnreachable func() bool
+	LastFailure      func() time.Time
 	// News returns the members that changed recently, and MergeNews applies those of
 	// another instance. FetchMembers fetches all members of the instance at an address.
 	News         func() []member.Member
@@ -95,27 +97,30 @@
 	Limits   Limits // limits of upstreams; nil if they are not shared
 	Log      logrus.FieldLogger
 
-	conn       net.PacketConn
-	started    time.Time
-	mu         sync.Mutex
-	reports    map[string]lastReport // most recent reports by the name of the sender
-	addresses  map[string]net.Addr   // resolved addresses of members
-	sequence   uint64
-	lastRound  time.Time
-	resumedAt  time.Time         // when a suspension of this process was noticed
-	heard      bool              // whether a peer was heard in the most recent round
-	own        placementLog      // placements of this instance
-	ids        map[string]string // IDs of upstreams by their hashes
-	idsRoster  *roster.Roster    // roster that ids belongs to
-	fleet      aggregation
-	logged     beliefs // as in the most recent round
-	sharing    *sharing
-	limits     limitSharing
-	refreshing atomic.Bool // whether facts are being fetched again
-	sent       atomic.Int64
-	received   atomic.Int64
-	sentBytes  atomic.Int64
-	group      background.Group
+	conn      net.PacketConn
+	started   time.Time
+	mu        sync.Mutex
+	reports   map[string]lastReport // most recent reports by the name of the sender
+	addresses map[string]net.Addr   // resolved addresses of members
+	sequence  uint64
+	lastRound time.Time
+	resumedAt time.Time         // when a suspension of this process was noticed
+	heard     bool              // whether a peer was heard in the most recent round
+	own       placementLog      // placements of this instance
+	ids       map[string]string // IDs of upstreams by their hashes
+	idsRoster *roster.Roster    // roster that ids belongs to
+	fleet     aggregation
+	// unfollowedAt is since when too few of the instances before this one reach the
+	// store, zero if enough do.
+	unfollowedAt time.Time
+	logged       beliefs // as in the most recent round
+	sharing      *sharing
+	limits       limitSharing
+	refreshing   atomic.Bool // whether facts are being fetched again
+	sent         atomic.Int64
+	received     atomic.Int64
+	sentBytes    atomic.Int64
+	group        background.Group
 }
 
 // Run starts sending and receiving datagrams.
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -248,6 +248,7 @@
 		Version:          fl.versions[i].Load,
 		Position:         func() roster.Position { return roster.Position{Mark: 1} },
 		StoreUnreachable: func() bool { return false },
+		LastFailure:      func() time.Time { return time.Time{} },
 		News:             func() []member.Member { return nil },
 		MergeNews:        func([]member.Member) {},
 		FetchMembers:     func(string) {},
--- a/exchange/role.go
+++ b/exchange/role.go
@@ -24,14 +24,18 @@
 	// instances of this zone and of another one are used.
 	ownListLifetime = 2 * time.Second
 	listLifetime    = 6 * time.Second
+	// retryTime is how long an instance that the store did not answer makes no call while
+	// too few others reach the store. It grows with the number of instances before it,
+	// from maxTriedInstances on.
+	retryTime = 1500 * time.Millisecond
 )
 
 // Role returns how closely this instance follows the store. The instances that
 // the store answers are ordered by the hash of their names: the first few
 // follow the store and the others are updated by them. An instance that the
 // store does not answer is ordered among all instances, and keeps trying only
-// if it is among the first. An instance beyond the first maxTriedInstances of all
-// makes no calls.
+// if it is among the first. The others try again from time to time while too few
+// reach the store, those late in the order less often.
 //
 // Where reports are aggregated, only aggregators are ordered. An instance that gets no
 // table relies on nobody.
@@ -43,22 +47,51 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fleet.plan.Aggregated() && !s.fleet.acting() {
-		return s.roleWithTables(now)
+		return s.roleWithTables(now, unreachable)
 	}
-	preceding, precedingReachable := 0, 0
+	var before competitors
 	for name, last := range s.reports {
-		if !s.competes(now, name, last) || xxhash.Sum64String(name) > xxhash.Sum64String(s.Self) {
-			continue
-		}
-		preceding++
-		if !last.storeUnreachable {
-			precedingReachable++
+		if s.competes(now, name, last) && xxhash.Sum64String(name) <= xxhash.Sum64String(s.Self) {
+			before.add(last.storeUnreachable)
 		}
 	}
+	return s.roleAfter(now, before, unreachable)
+}
+
+// competitors counts the instances before this one in the order of those that may follow
+// the store.
+type competitors struct {
+	all       int
+	reachable int // those that do not report that the store does not answer them
+}
+
+// add counts an instance.
+func (c *competitors) add(unreachable bool) {
+	c.all++
+	if !unreachable {
+		c.reachable++
+	}
+}
+
+// roleAfter returns the role of an instance after the given competitors. The caller holds
+// s.mu.
+func (s *Service) roleAfter(now time.Time, before competitors, unreachable bool) follow.Role {
+	if before.all < alertInstances {
+		s.unfollowedAt = time.Time{}
+		return follow.Alert
+	}
+	if before.reachable >= alertInstances {
+		s.unfollowedAt = time.Time{}
+		return follow.Idle
+	}
+	if s.unfollowedAt.IsZero() {
+		s.unfollowedAt = now
+	}
+	rounds := before.all / maxTriedInstances
 	switch {
-	case preceding < alertInstances:
+	case !unreachable && now.Sub(s.unfollowedAt) >= time.Duration(rounds)*retryTime:
 		return follow.Alert
-	case !unreachable && precedingReachable < alertInstances && preceding < maxTriedInstances:
+	case unreachable && now.Sub(s.LastFailure()) >= time.Duration(max(rounds, 1))*retryTime:
 		return follow.Alert
 	}
 	return follow.Idle
@@ -82,23 +115,22 @@
 // roleWithTables returns the role of an instance that is no aggregator. It follows the
 // store itself if it gets no table, or if the store answers no aggregator and it is
 // among the first of its zone. The caller holds s.mu.
-func (s *Service) roleWithTables(now time.Time) follow.Role {
+func (s *Service) roleWithTables(now time.Time, unreachable bool) follow.Role {
 	switch {
 	case now.Sub(s.fleet.tableAt) > tableTimeout && now.Sub(s.started) > tableTimeout:
+		s.unfollowedAt = time.Time{}
 		return follow.Alert
 	case s.fleet.followed || s.fleet.tableAt.IsZero():
+		s.unfollowedAt = time.Time{}
 		return follow.Idle
 	}
-	preceding := 0
-	for hash := range s.fleet.lists[s.Zone].instances {
+	var before competitors
+	for hash, i := range s.fleet.lists[s.Zone].instances {
 		if hash < aggregate.NameHash(s.Self) {
-			preceding++
+			before.add(i.StoreUnreachable)
 		}
 	}
-	if preceding < alertInstances {
-		return follow.Alert
-	}
-	return follow.Idle
+	return s.roleAfter(now, before, unreachable)
 }
 
 // directTimeout returns how long nothing may be received from an instance that sends
--- a/exchange/role_test.go
+++ b/exchange/role_test.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"knapweedwell/aggregate"
 	"knapweedwell/follow"
 	"knapweedwell/member"
 )
@@ -50,6 +51,7 @@
 				Self:             name,
 				Members:          func() []member.Member { return make([]member.Member, count) },
 				StoreUnreachable: func() bool { return slices.Contains(c.unreachable, self) },
+				LastFailure:      time.Now,
 				reports:          map[string]lastReport{},
 			}
 			for i, other := range names {
@@ -64,3 +66,61 @@
 		assert.DeepEqual(t, alert, c.alert)
 	}
 }
+
+// TestFailedInstanceTriesAgain guards against an instance that stays away from the store for
+// good after one failed call, while nobody follows the store.
+func TestFailedInstanceTriesAgain(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		position   int // in the order of Role
+		failureAge time.Duration
+		aggregated bool
+		role       follow.Role
+	}{
+		{"failed just now", 3, 0, false, follow.Idle},
+		{"failed a while ago", 3, retryTime, false, follow.Alert},
+		{"late in the order", 30, retryTime, false, follow.Idle},
+		{"late in the order, failed long ago", 30, 2 * retryTime, false, follow.Alert},
+		{"gets tables, failed just now", 3, 0, true, follow.Idle},
+		{"gets tables, failed a while ago", 3, retryTime, true, follow.Alert},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			names := byHash(c.position + 1)
+			failure := time.Now().Add(-c.failureAge)
+			s := &Service{
+				Self: names[c.position], Zone: "z", reports: map[string]lastReport{},
+				StoreUnreachable: func() bool { return true }, LastFailure: func() time.Time { return failure },
+			}
+			for _, name := range names[:c.position] {
+				s.reports[name] = lastReport{state: member.Live, storeUnreachable: true, at: time.Now()}
+			}
+			assert.Equal(t, s.roleAfter(time.Now(), competitors{all: c.position}, true), c.role)
+			if !c.aggregated {
+				assert.Equal(t, s.Role(), c.role)
+				return
+			}
+			s.fleet = newAggregation("z")
+			s.fleet.tableAt = time.Now()
+			list := aggregate.Zone{Name: "z"}
+			for i := range c.position {
+				list.Instances = append(list.Instances, aggregate.Instance{Hash: uint32(i), State: member.Live, StoreUnreachable: true})
+			}
+			s.fleet.setList(time.Now(), list)
+			assert.Equal(t, s.roleWithTables(time.Now(), true), c.role)
+		})
+	}
+}
+
+// TestOthersTryOneAfterTheOther guards against a store that serves only instances which no
+// one expects to be tried.
+func TestOthersTryOneAfterTheOther(t *testing.T) {
+	s := &Service{LastFailure: func() time.Time { return time.Time{} }}
+	now := time.Now()
+	before := competitors{all: maxTriedInstances + 1}
+	assert.Equal(t, s.roleAfter(now, before, false), follow.Idle)
+	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Alert)
+	before.reachable = alertInstances
+	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Idle)
+	before.reachable = 0
+	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Idle, "the time must be counted anew")
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -69,6 +69,7 @@
 	synced      int64     // revision up to which all changes are known
 	era         int64     // of the revision
 	outageStart time.Time // when the store stopped answering; zero while it answers
+	lastFailure time.Time // when a call last failed
 	group       background.Group
 
 	// behind is set if the changes since synced may be many: a list is shorter. Only loop
@@ -108,13 +109,20 @@
 }
 
 // StoreUnreachable reports whether the most recent call to the store failed. An
-// Idle instance makes none, so that the result may be old.
+// Idle instance makes none, so that the result may be old: LastFailure tells how old.
 func (f *Follower) StoreUnreachable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.outageStart.IsZero()
 }
 
+// LastFailure returns when a call to the store last failed, zero if none did.
+func (f *Follower) LastFailure() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastFailure
+}
+
 func (f *Follower) loop(ctx context.Context) {
 	if f.Delay > 0 {
 		sleep(ctx, rand.N(f.Delay))
@@ -234,6 +242,7 @@
 func (f *Follower) recordFailure(err error) {
 	f.mu.Lock()
 	now := time.Now()
+	f.lastFailure = now
 	first := f.outageStart.IsZero()
 	if first {
 		f.outageStart = now
--- a/roster/service.go
+++ b/roster/service.go
@@ -103,6 +103,11 @@
 	return s.follower.StoreUnreachable()
 }
 
+// LastFailure returns when a call to the store last failed, zero if none did.
+func (s *Service) LastFailure() time.Time {
+	return s.follower.LastFailure()
+}
+
 // update changes the list and publishes a new roster if that changed anything,
 // or if it is the first complete list.
 func (s *Service) update(complete bool, change func(*entryList) bool) {
--- a/simulation/edge_restore_test.go
+++ b/simulation/edge_restore_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"knapweedwell/edge"
 	adapter "knapweedwell/platform"
 	"knapweedwell/standin/platform"
@@ -105,3 +108,28 @@
 		sim.eventually(5*time.Second, "the instance is listed again", listed)
 	})
 }
+
+// TestFailureInShortOutageIsForgotten guards against configurations that come late because
+// each instance that reaches the store failed once in a short outage and never tried again,
+// while those that follow the store are turned away.
+func TestFailureInShortOutageIsForgotten(t *testing.T) {
+	const limit = 2500 * time.Millisecond
+	simulateRoutes(t, 6, func(sim *routeSimulation) {
+		names := map[uint64]string{}
+		var order []uint64
+		for i, in := range sim.instances {
+			h := xxhash.Sum64String(in.Settings.Name)
+			names[h] = strings.TrimSuffix(sim.instances[i].Settings.Caller, ":1")
+			order = append(order, h)
+		}
+		slices.Sort(order)
+		away := map[string]bool{names[order[0]]: true, names[order[1]]: true}
+		sim.store.SetFaults(platform.Faults{Outage: true, TurnedAway: away})
+		time.Sleep(3 * time.Second)
+		sim.store.SetFaults(platform.Faults{TurnedAway: away})
+		sim.writeRoutes()
+		sim.eventually(limit, "the configuration is in force", func() bool {
+			return !slices.ContainsFunc(sim.instances, func(i *edge.Instance) bool { return i.Routing.Version() < sim.routesVersion })
+		})
+	})
+}
