--- a/edge/operator.go
+++ b/edge/operator.go
@@ -56,9 +56,10 @@
 	Quarantine   []Verdict
 }
 
-// Verdict is a verdict on a prompt part that is in force.
+// Verdict is a verdict on a prompt part, or on a whole request, that is in force.
 type Verdict struct {
 	Part    string // in hex
+	Whole   bool   // Part is the fingerprint of a request
 	Since   time.Time
 	Until   time.Time
 	Crashes int
@@ -77,7 +78,7 @@
 		s.Upstreams = len(r.Entries)
 	}
 	for _, v := range i.Quarantine.Verdicts(time.Now()) {
-		s.Quarantine = append(s.Quarantine, Verdict{Part: quarantine.PartName(v.Part), Since: v.At, Until: v.Until, Crashes: v.Crashes})
+		s.Quarantine = append(s.Quarantine, Verdict{Part: quarantine.TraitName(v.Trait), Since: v.At, Until: v.Until, Crashes: v.Crashes, Whole: v.Whole})
 	}
 	webserver.WriteJSON(w, s)
 }
--- a/exchange/facts.go
+++ b/exchange/facts.go
@@ -99,13 +99,13 @@
 func describeFact(f quarantine.Fact) (key factKey, at, until time.Time) {
 	switch f := f.(type) {
 	case quarantine.Implicated:
-		return factKey{kind: implicatedKind, part: f.Part, crash: f.Crash}, f.At, time.Time{}
+		return factKey{kind: implicatedKind, part: f.Trait, crash: f.Crash}, f.At, time.Time{}
 	case quarantine.Answered:
-		return factKey{kind: answeredKind, part: f.Part}, f.At, time.Time{}
+		return factKey{kind: answeredKind, part: f.Trait}, f.At, time.Time{}
 	case quarantine.Convicted:
-		return factKey{kind: convictedKind, part: f.Part}, f.At, f.Until
+		return factKey{kind: convictedKind, part: f.Trait}, f.At, f.Until
 	case quarantine.Released:
-		return factKey{kind: releasedKind, part: f.Part}, f.At, time.Time{}
+		return factKey{kind: releasedKind, part: f.Trait}, f.At, time.Time{}
 	}
 	return factKey{}, time.Time{}, time.Time{}
 }
--- a/exchange/facts_test.go
+++ b/exchange/facts_test.go
@@ -74,7 +74,7 @@
 func crash(number int) []quarantine.Fact {
 	var facts []quarantine.Fact
 	for part := range 36 {
-		facts = append(facts, quarantine.Implicated{Part: 1<<31 + uint64(number*10+part), Crash: 1<<63 + uint64(number), At: time.Now()})
+		facts = append(facts, quarantine.Implicated{Trait: 1<<31 + uint64(number*10+part), Crash: 1<<63 + uint64(number), At: time.Now()})
 	}
 	return facts
 }
@@ -137,7 +137,7 @@
 				took := 250*time.Millisecond + fl.reach(expected, 10*time.Second)
 				t.Logf("the evidence of the last crash after at most %s", took)
 				assert.Assert(t, took <= c.limit, "evidence took %s, expected at most %s", took, c.limit)
-				fl.facts[1].learn(quarantine.Convicted{Part: 1, At: time.Now(), Until: time.Now().Add(20 * time.Second), Crashes: 5})
+				fl.facts[1].learn(quarantine.Convicted{Trait: 1, At: time.Now(), Until: time.Now().Add(20 * time.Second), Crashes: 5})
 				took = fl.reach(expected+1, 10*time.Second)
 				t.Logf("the verdict after %s", took)
 				assert.Assert(t, took <= c.limit, "verdict took %s, expected at most %s", took, c.limit)
@@ -173,8 +173,8 @@
 			fl.observeAll()
 			time.Sleep(3 * time.Second)
 			fl.setCut([]int{0, 1}, true)
-			fl.facts[2].learn(quarantine.Convicted{Part: 1, At: time.Now(), Until: time.Now().Add(time.Minute), Crashes: 5})
-			fl.facts[0].learn(quarantine.Implicated{Part: 3, Crash: 4, At: time.Now()})
+			fl.facts[2].learn(quarantine.Convicted{Trait: 1, At: time.Now(), Until: time.Now().Add(time.Minute), Crashes: 5})
+			fl.facts[0].learn(quarantine.Implicated{Trait: 3, Crash: 4, At: time.Now()})
 			assert.Assert(t, fl.reach(1, 5*time.Second) < 5*time.Second || fl.lacking(1) <= 1)
 			time.Sleep(5 * time.Second)
 			fl.setCut([]int{0, 1}, false)
@@ -193,7 +193,7 @@
 		time.Sleep(3 * time.Second)
 		fl.packets.setLoss(0.2)
 		until := time.Now().Add(20 * time.Second)
-		fl.facts[3].learn(quarantine.Convicted{Part: 1, At: time.Now(), Until: until, Crashes: 5})
+		fl.facts[3].learn(quarantine.Convicted{Trait: 1, At: time.Now(), Until: until, Crashes: 5})
 		time.Sleep(15 * time.Second)
 		for i, f := range fl.facts {
 			facts := f.Facts(time.Now())
@@ -215,7 +215,7 @@
 		time.Sleep(2 * time.Second)
 		s := fl.services[0]
 		now := time.Now()
-		data := encodeFacts(now, factsMessage{Sender: fl.members[1].Name, Facts: []quarantine.Fact{quarantine.Answered{Part: 1, At: now}}})
+		data := encodeFacts(now, factsMessage{Sender: fl.members[1].Name, Facts: []quarantine.Fact{quarantine.Answered{Trait: 1, At: now}}})
 		s.mu.Lock()
 		s.lastRound = now.Add(-2 * suspensionTime)
 		s.mu.Unlock()
--- a/exchange/factscodec.go
+++ b/exchange/factscodec.go
@@ -11,7 +11,7 @@
 	"knapweedwell/ratelimit"
 )
 
-// factsFormat is the format of the datagrams that carry facts about prompt parts.
+// factsFormat is the format of the datagrams that carry facts about what crashes upstreams.
 const factsFormat = 7
 
 // The kinds of facts in a datagram. Others are skipped.
@@ -26,7 +26,7 @@
 const (
 	maxFacts   = 5000 // facts in one message
 	maxFactAge = 24 * time.Hour
-	maxPlace   = 1 << 10 // places in a prompt
+	maxPlace   = 1 << 10 // places in a request
 	maxCrashes = 1 << 20 // crashes of one verdict
 )
 
@@ -102,7 +102,7 @@
 		case quarantine.Implicated:
 			key := placedCrash{crash: f.Crash, place: min(max(f.Place, 0), maxPlace)}
 			if i, ok := crashes[key]; ok {
-				items[i].data = binary.AppendUvarint(items[i].data, f.Part)
+				items[i].data = binary.AppendUvarint(items[i].data, f.Trait)
 				continue
 			}
 			crashes[key] = len(items)
@@ -110,15 +110,16 @@
 			item.data = binary.LittleEndian.AppendUint64(nil, f.Crash)
 			item.data = appendMillis(item.data, now.Sub(f.At))
 			item.data = binary.AppendUvarint(item.data, uint64(key.place))
-			item.data = binary.AppendUvarint(item.data, f.Part)
+			item.data = binary.AppendUvarint(item.data, f.Trait)
 		case quarantine.Answered:
-			item.kind, item.data = answeredKind, appendPartAge(now, f.Part, f.At)
+			item.kind, item.data = answeredKind, appendPartAge(now, f.Trait, f.At)
 		case quarantine.Convicted:
-			item.kind, item.data = convictedKind, appendPartAge(now, f.Part, f.At)
+			item.kind, item.data = convictedKind, appendPartAge(now, f.Trait, f.At)
 			item.data = appendMillis(item.data, f.Until.Sub(f.At))
 			item.data = binary.AppendUvarint(item.data, uint64(min(max(f.Crashes, 0), maxCrashes)))
+			item.data = append(item.data, boolByte(f.Whole))
 		case quarantine.Released:
-			item.kind, item.data = releasedKind, appendPartAge(now, f.Part, f.At)
+			item.kind, item.data = releasedKind, appendPartAge(now, f.Trait, f.At)
 		default:
 			continue
 		}
@@ -190,18 +191,19 @@
 		crash, at, place := r.uint64(), now.Add(-r.millis()), r.count(maxPlace)
 		var facts []quarantine.Fact
 		for len(r.data) > 0 && !r.malformed {
-			facts = append(facts, quarantine.Implicated{Part: r.uvarint(), Place: place, Crash: crash, At: at})
+			facts = append(facts, quarantine.Implicated{Trait: r.uvarint(), Place: place, Crash: crash, At: at})
 		}
 		return facts
 	case answeredKind:
-		return []quarantine.Fact{quarantine.Answered{Part: r.uvarint(), At: now.Add(-r.millis())}}
+		return []quarantine.Fact{quarantine.Answered{Trait: r.uvarint(), At: now.Add(-r.millis())}}
 	case convictedKind:
-		f := quarantine.Convicted{Part: r.uvarint(), At: now.Add(-r.millis())}
+		f := quarantine.Convicted{Trait: r.uvarint(), At: now.Add(-r.millis())}
 		f.Until = f.At.Add(r.millis())
 		f.Crashes = r.count(maxCrashes)
+		f.Whole = len(r.data) > 0 && r.bytes(1)[0] != 0 // earlier builds end before it
 		return []quarantine.Fact{f}
 	case releasedKind:
-		return []quarantine.Fact{quarantine.Released{Part: r.uvarint(), At: now.Add(-r.millis())}}
+		return []quarantine.Fact{quarantine.Released{Trait: r.uvarint(), At: now.Add(-r.millis())}}
 	}
 	return nil
 }
--- a/exchange/factscodec_test.go
+++ b/exchange/factscodec_test.go
@@ -17,11 +17,11 @@
 	return factsMessage{
 		Sender: "entry-1", Compare: compareHas, Digest: 1 << 63, Has: []uint16{1, 1 << 15},
 		Facts: []quarantine.Fact{
-			quarantine.Convicted{Part: 0xe4402b7d, At: now.Add(-2 * time.Second), Until: now.Add(time.Minute), Crashes: 5},
-			quarantine.Implicated{Part: 1 << 60, Crash: 9, At: now.Add(-300 * time.Millisecond)},
-			quarantine.Implicated{Part: 7, Place: 3, Crash: 9, At: now.Add(-300 * time.Millisecond)},
-			quarantine.Answered{Part: 8, At: now.Add(-4 * time.Second)},
-			quarantine.Released{Part: 9, At: now},
+			quarantine.Convicted{Trait: 0xe4402b7d, At: now.Add(-2 * time.Second), Until: now.Add(time.Minute), Crashes: 5},
+			quarantine.Implicated{Trait: 1 << 60, Crash: 9, At: now.Add(-300 * time.Millisecond)},
+			quarantine.Implicated{Trait: 7, Place: 3, Crash: 9, At: now.Add(-300 * time.Millisecond)},
+			quarantine.Answered{Trait: 8, At: now.Add(-4 * time.Second)},
+			quarantine.Released{Trait: 9, At: now},
 		},
 	}
 }
@@ -40,17 +40,17 @@
 // TestFactsCodecBounds encodes a verdict that has ended and ones with times out of bounds.
 func TestFactsCodecBounds(t *testing.T) {
 	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
-	ended := quarantine.Convicted{Part: 3, At: now.Add(-time.Hour), Until: now.Add(-time.Minute), Crashes: 2}
+	ended := quarantine.Convicted{Trait: 3, At: now.Add(-time.Hour), Until: now.Add(-time.Minute), Crashes: 2}
 	facts := []quarantine.Fact{
-		quarantine.Convicted{Part: 1, At: now.Add(-3 * maxFactAge), Until: now, Crashes: -1},
-		quarantine.Convicted{Part: 2, At: now.Add(time.Second), Until: now.Add(time.Minute), Crashes: 2},
+		quarantine.Convicted{Trait: 1, At: now.Add(-3 * maxFactAge), Until: now, Crashes: -1},
+		quarantine.Convicted{Trait: 2, At: now.Add(time.Second), Until: now.Add(time.Minute), Crashes: 2},
 		ended,
 	}
 	m, err := decodeFacts(now, encodeFacts(now, factsMessage{Facts: facts}))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, m.Facts, []quarantine.Fact{
-		quarantine.Convicted{Part: 1, At: now.Add(-maxFactAge), Until: now},
-		quarantine.Convicted{Part: 2, At: now, Until: now.Add(59 * time.Second), Crashes: 2},
+		quarantine.Convicted{Trait: 1, At: now.Add(-maxFactAge), Until: now},
+		quarantine.Convicted{Trait: 2, At: now, Until: now.Add(59 * time.Second), Crashes: 2},
 		ended,
 	})
 }
@@ -63,7 +63,7 @@
 	data := append(head[:len(head)-1:len(head)-1], 2, 99, 3, 1, 2, 3, answeredKind, 4, 5, 0, 1, 1)
 	m, err := decodeFacts(now, data)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, m.Facts, []quarantine.Fact{quarantine.Answered{Part: 5, At: now}})
+	assert.DeepEqual(t, m.Facts, []quarantine.Fact{quarantine.Answered{Trait: 5, At: now}})
 }
 
 // TestDecodeFactsTruncated cuts a message at every byte: each piece is rejected.
--- a/forward/end.go
+++ b/forward/end.go
@@ -103,7 +103,7 @@
 		fields["Reason"] = f.Message
 	}
 	if rs.refusal != nil {
-		fields["Part"] = quarantine.PartName(rs.refusal.Part)
+		fields["Part"] = quarantine.TraitName(rs.refusal.Trait.ID)
 		fields["Quarantined"] = rs.refusal.Quarantined
 	}
 	rs.s.Log.WithFields(fields).Info("request ended")
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,34 +21,54 @@
 	maxProbes    = 3 // attempts to find out whether an upstream has crashed
 )
 
-// withheld means that the request was not sent because of a part of its prompt.
+// findTraits returns the traits by which the request is known again if it crashes upstreams:
+// the parts of its prompt, and itself with its query and without.
+func (rs *requestState) findTraits() []quarantine.Trait {
+	caller := rs.headers.Key
+	if rs.organisation != nil {
+		caller = rs.organisation.Name
+	}
+	target := rs.r.RequestURI
+	path, query, _ := strings.Cut(target, "?")
+	fingerprints := []uint64{quarantine.Fingerprint(rs.r.Method, path, caller, rs.body)}
+	if query != "" {
+		fingerprints = append(fingerprints, quarantine.Fingerprint(rs.r.Method, target, caller, rs.body))
+	}
+	return quarantine.Traits(&rs.headers.Prompt, fingerprints...)
+}
+
+// withheld means that the request was not sent because of a trait of it.
 type withheld struct {
 	refusal *quarantine.Refusal
 }
 
 func (withheld) result() {}
 
-// withhold returns the failure of a request that is not sent because of a part of its
-// prompt.
+// withhold returns the failure of a request that is not sent because of a trait of it.
 func (rs *requestState) withhold(r *quarantine.Refusal) *request.Failure {
 	rs.refusal = r
-	text := "prompt part %s is tried by another request after %d crashes of upstreams"
+	what, state := "prompt part", "tried by another request"
+	if r.Trait.Whole {
+		what = "request"
+	}
 	if r.Quarantined {
-		text = "prompt part %s is quarantined after %d crashes of upstreams"
+		state = "quarantined"
 	}
+	const text = "%s %s is %s after %d crashes of upstreams"
+	name := quarantine.TraitName(r.Trait.ID)
 	if rs.runs > 0 {
-		return rs.giveUp(text, quarantine.PartName(r.Part), r.Crashes)
+		return rs.giveUp(text, what, name, state, r.Crashes)
 	}
-	return request.Unavailable(text, quarantine.PartName(r.Part), r.Crashes).WithRetryAfter(r.RetryAfter)
+	return request.Unavailable(text, what, name, state, r.Crashes).WithRetryAfter(r.RetryAfter)
 }
 
-// withdraw returns what became of a send that was interrupted because of a part of the
-// prompt, or the result itself.
+// withdraw returns what became of a send that was interrupted because of a trait of the
+// request, or the result itself.
 func (t *transfer) withdraw(res result) result {
 	if _, ok := res.(broken); !ok || !t.watched.Withdrawn() {
 		return res
 	}
-	if r := t.rs.s.Quarantine.Check(time.Now(), t.rs.headers.Prompt.Shared()); r != nil {
+	if r := t.rs.s.Quarantine.Check(time.Now(), t.rs.traits); r != nil {
 		return withheld{refusal: r}
 	}
 	return res
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -58,7 +58,8 @@
 	retryTaken  bool                // whether the budget has granted the next send already
 	reused      bool                // whether the most recent connection had served an earlier request
 	watched     *quarantine.Attempt // most recent send
-	refusal     *quarantine.Refusal // because of a part of the prompt, nil if there was none
+	traits      []quarantine.Trait
+	refusal     *quarantine.Refusal // because of a trait, nil if there was none
 }
 
 // serve sends the request to upstreams until one of them answers or no further
@@ -70,6 +71,7 @@
 		rs.pool = &route.Pool{Name: name}
 	}
 	rs.avoid = map[string]bool{}
+	rs.traits = rs.findTraits()
 	rs.s.Budget.RecordRequest(rs.arrived, name)
 	ctx, cancel := rs.context()
 	defer cancel()
@@ -77,7 +79,7 @@
 		if ctx.Err() != nil {
 			return rs.contextDone(ctx)
 		}
-		if refusal := rs.s.Quarantine.Check(time.Now(), rs.headers.Prompt.Shared()); refusal != nil {
+		if refusal := rs.s.Quarantine.Check(time.Now(), rs.traits); refusal != nil {
 			return rs.withhold(refusal)
 		}
 		r, ok, f := rs.chooseUpstream()
--- a/forward/send.go
+++ b/forward/send.go
@@ -32,7 +32,7 @@
 		attempt.End(time.Now(), balancer.Abandoned)
 		return notSent{reason: reason}
 	}
-	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.headers.Prompt.Shared(), conn.Interrupt)
+	watched, refusal := rs.s.Quarantine.Begin(time.Now(), u, rs.traits, conn.Interrupt)
 	if refusal != nil {
 		conn.Close()
 		attempt.End(time.Now(), balancer.Abandoned)
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -8,17 +8,16 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"knapweedwell/request"
 	"knapweedwell/route"
 )
 
 const (
-	settleTime    = 250 * time.Millisecond // time after the first event that an upstream must survive
-	breakTime     = 10 * time.Second       // time for which a broken connection is remembered
-	leavingTime   = 5 * time.Minute        // time for which a leaving upstream is remembered
-	maxBreaks     = 256                    // upstreams with broken connections
-	maxBreakParts = 256                    // parts that waited at one upstream
-	maxLeaving    = 1024
+	settleTime     = 250 * time.Millisecond // time after the first event that an upstream must survive
+	breakTime      = 10 * time.Second       // time for which a broken connection is remembered
+	leavingTime    = 5 * time.Minute        // time for which a leaving upstream is remembered
+	maxBreaks      = 256                    // upstreams with broken connections
+	maxBreakTraits = 256                    // traits that waited at one upstream
+	maxLeaving     = 1024
 )
 
 // incarnation is an upstream from one start to its end.
@@ -32,8 +31,8 @@
 	return incarnation{id: u.ID, born: u.Born}
 }
 
-// placedPart is a part with its place in the prompt.
-type placedPart struct {
+// placedTrait is a trait with its place in the request.
+type placedTrait struct {
 	id    uint64
 	place int
 }
@@ -41,7 +40,7 @@
 // breakOff is what is known of an upstream that broke off requests.
 type breakOff struct {
 	at      time.Time
-	parts   []placedPart // of the requests that waited
+	traits  []placedTrait // of the requests that waited
 	crashed bool
 }
 
@@ -57,12 +56,12 @@
 type Attempt struct {
 	quarantine  *Quarantine
 	upstream    *route.Upstream
-	parts       []request.Part
+	traits      []Trait
 	interrupt   func()
 	withdrawn   atomic.Bool
 	counted     []*suspect // whose number of running requests includes this one
 	answeringAt time.Time
-	cleared     bool
+	cleared     bool // the upstream has survived an answer on the parts
 }
 
 // Outcome is the way in which an attempt ended.
@@ -72,19 +71,19 @@
 const (
 	Served Outcome = iota // the answer was received in full
 	Broken                // the upstream closed or reset the connection before its end
-	Other                 // nothing follows about the parts or the upstream
+	Other                 // nothing follows about the traits or the upstream
 )
 
-// Begin records that a request with the shared parts is sent to an upstream. It returns
+// Begin records that a request with the traits is sent to an upstream. It returns
 // a refusal instead if it must not be sent. The function interrupt is called, without
-// blocking, if a part is convicted while the request waits for its answer.
-func (q *Quarantine) Begin(now time.Time, u *route.Upstream, parts []request.Part, interrupt func()) (*Attempt, *Refusal) {
-	a := &Attempt{quarantine: q, upstream: u, parts: parts, interrupt: interrupt}
-	if len(parts) == 0 {
+// blocking, if a trait is convicted while the request waits for its answer.
+func (q *Quarantine) Begin(now time.Time, u *route.Upstream, traits []Trait, interrupt func()) (*Attempt, *Refusal) {
+	a := &Attempt{quarantine: q, upstream: u, traits: traits, interrupt: interrupt}
+	if len(traits) == 0 {
 		return a, nil
 	}
 	q.mu.Lock()
-	refusal := q.check(now, parts)
+	refusal := q.check(now, traits)
 	if refusal == nil {
 		a.count(now)
 		q.await(a)
@@ -107,11 +106,11 @@
 	q.waiting[a] = true
 }
 
-// withdraw interrupts the attempts with a part that wait for their answers. The caller
+// withdraw interrupts the attempts with a trait that wait for their answers. The caller
 // holds q.mu.
-func (q *Quarantine) withdraw(part uint64) {
+func (q *Quarantine) withdraw(trait uint64) {
 	for a := range q.waiting {
-		if slices.ContainsFunc(a.parts, func(p request.Part) bool { return p.ID == part }) {
+		if slices.ContainsFunc(a.traits, func(p Trait) bool { return p.ID == trait }) {
 			a.withdrawn.Store(true)
 			a.interrupt()
 			delete(q.waiting, a)
@@ -124,19 +123,19 @@
 	return a.withdrawn.Load()
 }
 
-// count counts the attempt at each part that is limited to one request at a time. The
+// count counts the attempt at each trait that is limited to one request at a time. The
 // caller holds the quarantine's lock.
 func (a *Attempt) count(now time.Time) {
 	q := a.quarantine
-	for _, part := range a.parts {
-		if s := q.suspects[part.ID]; s != nil && s.limited(now, q.explained(now)) {
+	for _, trait := range a.traits {
+		if s := q.suspects[trait.ID]; s != nil && s.limited(now, q.explained(now, s)) {
 			s.running++
 			a.counted = append(a.counted, s)
 		}
 	}
 }
 
-// trial asks whether the parts whose verdict has ended may be tried, and returns a
+// trial asks whether the traits whose verdict has ended may be tried, and returns a
 // refusal if one may not.
 func (a *Attempt) trial(now time.Time) *Refusal {
 	q := a.quarantine
@@ -147,9 +146,9 @@
 		q.mu.Lock()
 		probation, crashes := s.onProbation(now), s.verdict.Crashes
 		q.mu.Unlock()
-		if probation && !q.Trial(s.part) {
+		if probation && !q.Trial(s.id) {
 			a.End(now, Other)
-			return &Refusal{Part: s.part, Crashes: crashes, RetryAfter: suspectRetryAfter}
+			return &Refusal{Trait: Trait{ID: s.id, Whole: s.whole()}, Crashes: crashes, RetryAfter: suspectRetryAfter}
 		}
 	}
 	return nil
@@ -158,56 +157,73 @@
 // Event records that events of the answer were received.
 func (a *Attempt) Event(now time.Time) {
 	switch {
-	case len(a.parts) == 0 || a.cleared:
+	case len(a.traits) == 0 || a.cleared:
 	case a.answeringAt.IsZero():
 		a.answeringAt = now
 		a.quarantine.mu.Lock()
 		delete(a.quarantine.waiting, a)
 		a.quarantine.mu.Unlock()
 	case now.Sub(a.answeringAt) >= settleTime:
-		a.clear(now)
+		a.cleared = true
+		a.clear(now, false)
 	}
 }
 
-// clear records that the upstream has survived an answer on the parts.
-func (a *Attempt) clear(now time.Time) {
-	a.cleared = true
+// clear records that the upstream has survived an answer on the parts, or one to the whole
+// request.
+func (a *Attempt) clear(now time.Time, whole bool) {
 	q := a.quarantine
 	q.mu.Lock()
 	defer q.unlock()
-	for _, part := range a.parts {
-		q.answered.record(part.ID, now)
-		q.clear(now, part.ID, now, ownSource)
+	for _, trait := range a.traits {
+		if trait.Whole != whole {
+			continue
+		}
+		if whole {
+			q.served.record(trait.ID, now)
+		} else {
+			q.answered.record(trait.ID, now)
+		}
+		q.clear(now, trait.ID, now, ownSource)
 	}
 }
 
 // MayRetry reports whether the request may be sent to another upstream after this one
-// broke off: it may not if a part of it, which no upstream answered lately, was also
+// broke off: it may not if a trait of it, which no upstream answered lately, was also
 // implicated in another crash.
 func (a *Attempt) MayRetry(now time.Time) bool {
 	q := a.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, part := range a.parts {
-		s := q.suspects[part.ID]
-		if s == nil || a.cleared || s.answeredRecently(now) {
+	for _, trait := range a.traits {
+		s := q.suspects[trait.ID]
+		if s == nil || a.survived(trait) || s.answeredRecently(now) {
 			continue
 		}
-		if n, _ := s.occasions(now, q.explained(now), CrashID(a.upstream)); n > 0 {
+		if n, _ := s.occasions(now, q.explained(now, s), CrashID(a.upstream)); n > 0 {
 			return false
 		}
 	}
 	return true
 }
 
+// survived reports whether the upstream has survived an answer with a trait. A whole request
+// may crash it until its end.
+func (a *Attempt) survived(t Trait) bool {
+	return a.cleared && !t.Whole
+}
+
 // End records the end of the attempt. It reports whether the caller should find out
 // whether the upstream has crashed, and then call Crashed or Survived.
 func (a *Attempt) End(now time.Time, o Outcome) bool {
-	if len(a.parts) == 0 {
+	if len(a.traits) == 0 {
 		return false
 	}
-	if o == Served && !a.cleared {
-		a.clear(now)
+	if o == Served {
+		if !a.cleared {
+			a.clear(now, false)
+		}
+		a.clear(now, true)
 	}
 	q := a.quarantine
 	q.mu.Lock()
@@ -240,14 +256,13 @@
 		b = &breakOff{at: now}
 		q.breaks[in] = b
 	}
-	if a.cleared {
-		return first
-	}
-	for place, part := range a.parts {
-		if b.crashed {
-			q.implicate(now, part.ID, place, a.crash(b, now), ownSource)
-		} else if len(b.parts) < maxBreakParts {
-			b.parts = append(b.parts, placedPart{id: part.ID, place: place})
+	for i, trait := range a.traits {
+		switch {
+		case a.survived(trait):
+		case b.crashed:
+			q.implicate(now, trait.ID, trait.place(i), a.crash(b, now), ownSource)
+		case len(b.traits) < maxBreakTraits:
+			b.traits = append(b.traits, placedTrait{id: trait.ID, place: trait.place(i)})
 		}
 	}
 	if b.crashed {
@@ -288,10 +303,10 @@
 	b.crashed = true
 	c := crash{id: CrashID(u), at: b.at, learnedAt: now, upstream: u.ID}
 	q.recordCrash(c)
-	for _, part := range b.parts {
-		q.implicate(now, part.id, part.place, c, ownSource)
+	for _, trait := range b.traits {
+		q.implicate(now, trait.id, trait.place, c, ownSource)
 	}
-	b.parts = nil
+	b.traits = nil
 	q.decide(now)
 }
 
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -21,12 +21,12 @@
 		switch f := fact.(type) {
 		case Implicated:
 			if now.Sub(f.At) <= evidenceTime {
-				q.implicate(now, f.Part, f.Place, crash{id: f.Crash, at: f.At, learnedAt: now}, peerSource)
+				q.implicate(now, f.Trait, f.Place, crash{id: f.Crash, at: f.At, learnedAt: now}, peerSource)
 			}
 		case Answered:
-			q.applyAnswer(now, f.Part, f.At)
+			q.applyAnswer(now, f.Trait, f.At)
 		case Released:
-			q.applyAnswer(now, f.Part, f.At)
+			q.applyAnswer(now, f.Trait, f.At)
 		case Convicted:
 			q.applyVerdict(now, f)
 		}
@@ -37,21 +37,21 @@
 }
 
 // applyAnswer applies an answer that a peer has seen. The caller holds q.mu.
-func (q *Quarantine) applyAnswer(now time.Time, part uint64, at time.Time) {
-	known := q.answered.at(part)
-	if s := q.suspects[part]; s != nil {
+func (q *Quarantine) applyAnswer(now time.Time, trait uint64, at time.Time) {
+	known := q.answeredAt(trait)
+	if s := q.suspects[trait]; s != nil {
 		known = s.answeredAt
 	}
 	if at.Sub(known) < answerTolerance {
 		return
 	}
-	q.answered.record(part, at)
-	q.clear(now, part, at, peerSource)
+	q.answered.record(trait, at)
+	q.clear(now, trait, at, peerSource)
 }
 
 // applyVerdict applies a verdict of a peer or from the store. The caller holds q.mu.
 func (q *Quarantine) applyVerdict(now time.Time, v Convicted) {
-	s := q.suspectOf(now, v.Part)
+	s := q.suspectOf(now, v.Trait)
 	if !v.At.After(s.answeredAt) {
 		q.shareAnswer(now, s)
 		return
@@ -62,14 +62,14 @@
 	s.verdict = v
 	s.released = false
 	if s.expired(now) {
-		delete(q.suspects, v.Part)
+		delete(q.suspects, v.Trait)
 		return
 	}
 	q.generation++
 	if s.convicted(now) {
-		q.withdraw(s.part)
+		q.withdraw(s.id)
 	}
-	q.log(now, s, peerSource).Warn("prompt part is quarantined")
+	q.log(now, s, peerSource).Warn(s.noun() + " is quarantined")
 }
 
 // Facts returns the facts that other instances need, the most important first.
@@ -88,19 +88,19 @@
 	return facts[:min(len(facts), maxFacts)]
 }
 
-// news returns the recent facts about a part, except its verdict.
+// news returns the recent facts about a trait, except its verdict.
 func (s *suspect) news(now time.Time) []Fact {
 	var facts []Fact
 	if now.Before(s.shareAnswerUntil) {
 		if s.released {
-			facts = append(facts, Released{Part: s.part, At: s.answeredAt})
+			facts = append(facts, Released{Trait: s.id, At: s.answeredAt})
 		} else {
-			facts = append(facts, Answered{Part: s.part, At: s.answeredAt})
+			facts = append(facts, Answered{Trait: s.id, At: s.answeredAt})
 		}
 	}
 	for _, c := range s.crashes {
 		if now.Sub(c.learnedAt) <= freshTime {
-			facts = append(facts, Implicated{Part: s.part, Place: s.place, Crash: c.id, At: c.at})
+			facts = append(facts, Implicated{Trait: s.id, Place: s.place, Crash: c.id, At: c.at})
 		}
 	}
 	return facts
--- a/quarantine/merge_test.go
+++ b/quarantine/merge_test.go
@@ -20,21 +20,21 @@
 	at := start.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "at")) * time.Second)
 	switch rapid.IntRange(0, 3).Draw(t, "fact") {
 	case 0:
-		return quarantine.Answered{Part: part, At: at}
+		return quarantine.Answered{Trait: part, At: at}
 	case 1:
-		return quarantine.Released{Part: part, At: at}
+		return quarantine.Released{Trait: part, At: at}
 	case 2:
-		return quarantine.Convicted{Part: part, At: at, Until: at.Add(10 * time.Minute), Crashes: 3}
+		return quarantine.Convicted{Trait: part, At: at, Until: at.Add(10 * time.Minute), Crashes: 3}
 	}
 	u := upstream(fmt.Sprintf("part%d-%s", part, at))
-	return quarantine.Implicated{Part: part, Crash: quarantine.CrashID(u), At: at}
+	return quarantine.Implicated{Trait: part, Crash: quarantine.CrashID(u), At: at}
 }
 
 // quarantined returns the quarantined parts.
 func quarantined(q *quarantine.Quarantine, now time.Time) map[uint64]bool {
 	parts := map[uint64]bool{}
 	for _, v := range q.Verdicts(now) {
-		parts[v.Part] = true
+		parts[v.Trait] = true
 	}
 	return parts
 }
@@ -80,7 +80,7 @@
 	peer.Apply(now, own.Facts(now))
 	assert.DeepEqual(t, peer.Verdicts(now), own.Verdicts(now))
 	assert.Equal(t, len(peer.Verdicts(now)), 1)
-	peer.Apply(now, []quarantine.Fact{quarantine.Released{Part: partID("dead"), At: now}})
+	peer.Apply(now, []quarantine.Fact{quarantine.Released{Trait: partID("dead"), At: now}})
 	assert.Equal(t, len(peer.Verdicts(now)), 0)
 	peer.Apply(now, own.Facts(now))
 	assert.Equal(t, len(peer.Verdicts(now)), 0)
@@ -115,7 +115,7 @@
 	q := newQuarantine()
 	allowed := false
 	q.Trial = func(uint64) bool { return allowed }
-	q.Apply(start, []quarantine.Fact{quarantine.Convicted{Part: 1, At: start, Until: start.Add(time.Minute), Crashes: 3}})
+	q.Apply(start, []quarantine.Fact{quarantine.Convicted{Trait: 1, At: start, Until: start.Add(time.Minute), Crashes: 3}})
 	now := start.Add(2 * time.Minute)
 	_, refusal := q.Begin(now, upstream("u1"), parts("1"), func() {})
 	assert.Assert(t, refusal != nil && !refusal.Quarantined)
@@ -138,8 +138,8 @@
 			now = now.Add(time.Second)
 			crash := quarantine.CrashID(upstream(name))
 			facts := []quarantine.Fact{
-				quarantine.Implicated{Part: shared, Place: 0, Crash: crash, At: now},
-				quarantine.Implicated{Part: deadly, Place: 1, Crash: crash, At: now},
+				quarantine.Implicated{Trait: shared, Place: 0, Crash: crash, At: now},
+				quarantine.Implicated{Trait: deadly, Place: 1, Crash: crash, At: now},
 			}
 			if reversed {
 				slices.Reverse(facts)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,12 +2,11 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"knapweedwell/request"
 )
 
 const (
@@ -21,37 +20,38 @@
 	occasionTime = 200 * time.Millisecond
 
 	// A crash has a common cause if minCommon other upstreams crash within commonTime of it
-	// without the part. It is judged judgeTime after it, when peers have told of theirs.
+	// without the trait. It is judged judgeTime after it, when peers have told of theirs.
 	commonTime = 75 * time.Millisecond
 	minCommon  = 2
 	judgeTime  = 150 * time.Millisecond
 
-	suspectOccasions = 2 // occasions that make a part suspect
-	convictOccasions = 3 // occasions that convict a part
+	suspectOccasions = 2 // occasions that make a trait suspect
+	convictOccasions = 3 // occasions that convict a trait
 	minAddresses     = 2 // different addresses among them
 
-	suspectRetryAfter = time.Second // advised while another request tries a suspected part
+	suspectRetryAfter = time.Second // advised while another request tries a suspected trait
 )
 
-// Quarantine holds what is known of the prompt parts that may crash upstreams. The
+// Quarantine holds what is known of the traits that may crash upstreams. The
 // exported fields are set before the first call.
 type Quarantine struct {
 	Log logrus.FieldLogger
 	// OnChange is called after this instance has learned a fact by itself, so that it
 	// can be sent at once; may be nil.
 	OnChange func()
-	// Trial reports whether this instance may send the next request with a part whose
+	// Trial reports whether this instance may send the next request with a trait whose
 	// verdict has ended; nil allows each.
-	Trial func(part uint64) bool
+	Trial func(trait uint64) bool
 
 	mu         sync.Mutex
 	generation uint64
 	changed    bool // OnChange is due
 	suspects   map[uint64]*suspect
-	created    uint64 // number of suspects so far
-	answered   answeredParts
-	recent     []crash   // most recent crashes, the oldest first
-	decideAt   time.Time // when crashes are to be judged, zero if all are
+	created    uint64         // number of suspects so far
+	answered   answeredTraits // parts, and what peers have told of
+	served     answeredTraits // whole requests
+	recent     []crash        // most recent crashes, the oldest first
+	decideAt   time.Time      // when crashes are to be judged, zero if all are
 	breaks     map[incarnation]*breakOff
 	waiting    map[*Attempt]bool         // requests without an event yet
 	leaving    map[incarnation]time.Time // when upstreams were seen to leave
@@ -60,34 +60,34 @@
 
 // Refusal states why a request is not sent.
 type Refusal struct {
-	Part        uint64
+	Trait       Trait
 	Crashes     int
 	RetryAfter  time.Duration
-	Quarantined bool // a verdict is in force; otherwise another request tries the part
+	Quarantined bool // a verdict is in force; otherwise another request tries the trait
 }
 
-// Check returns a refusal if a request with the parts would not be sent now, else nil.
-func (q *Quarantine) Check(now time.Time, parts []request.Part) *Refusal {
+// Check returns a refusal if a request with the traits would not be sent now, else nil.
+func (q *Quarantine) Check(now time.Time, traits []Trait) *Refusal {
 	q.mu.Lock()
 	defer q.unlock()
-	return q.check(now, parts)
+	return q.check(now, traits)
 }
 
 // check is Check. The caller holds q.mu.
-func (q *Quarantine) check(now time.Time, parts []request.Part) *Refusal {
+func (q *Quarantine) check(now time.Time, traits []Trait) *Refusal {
 	q.decideIfDue(now)
-	for _, part := range parts {
-		s := q.suspects[part.ID]
+	for _, trait := range traits {
+		s := q.suspects[trait.ID]
 		if s == nil {
 			continue
 		}
 		switch {
 		case s.convicted(now):
 			q.refusals++
-			return &Refusal{Part: s.part, Crashes: s.verdict.Crashes, RetryAfter: s.verdict.Until.Sub(now), Quarantined: true}
-		case s.running > 0 && s.limited(now, q.explained(now)):
+			return &Refusal{Trait: trait, Crashes: s.verdict.Crashes, RetryAfter: s.verdict.Until.Sub(now), Quarantined: true}
+		case s.running > 0 && s.limited(now, q.explained(now, s)):
 			q.refusals++
-			return &Refusal{Part: s.part, Crashes: len(s.crashes), RetryAfter: suspectRetryAfter}
+			return &Refusal{Trait: trait, Crashes: len(s.crashes), RetryAfter: suspectRetryAfter}
 		}
 	}
 	return nil
@@ -114,7 +114,7 @@
 	return q.refusals
 }
 
-// Suspects returns the number of parts that are known to have been in crashes.
+// Suspects returns the number of traits that are known to have been in crashes.
 func (q *Quarantine) Suspects() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -163,18 +163,18 @@
 	}
 }
 
-// decide convicts each part with enough evidence, the strongest first, because the
-// crashes that one verdict explains no longer count against other parts. The caller holds
+// decide convicts each trait with enough evidence, the strongest first, because the
+// crashes that one verdict explains no longer count against other traits. The caller holds
 // q.mu.
 func (q *Quarantine) decide(now time.Time) {
 	q.judge(now)
 	for {
-		explained := q.explained(now)
-		doubtful := q.doubtful(now, explained)
+		explained := q.explanation(now)
+		doubtful := q.doubtful(now, explained.crashes)
 		var strongest *suspect
 		most := 0
 		for _, s := range q.suspects {
-			discounted := explained
+			discounted := explained.of(s)
 			if !s.answeredAt.IsZero() {
 				discounted = doubtful
 			}
@@ -192,7 +192,7 @@
 	q.reconsider(now)
 }
 
-// reconsider ends each first verdict whose crashes are explained by a part with more
+// reconsider ends each first verdict whose crashes are explained by a trait with more
 // crashes, as when facts from peers arrive after it. The caller holds q.mu.
 func (q *Quarantine) reconsider(now time.Time) {
 	for _, s := range q.suspects {
@@ -206,25 +206,25 @@
 			}
 		}
 		if n, _ := s.occasions(now, stronger, 0); n < convictOccasions && len(stronger) > 0 {
-			q.clear(now, s.part, now, ownSource)
+			q.clear(now, s.id, now, ownSource)
 		}
 	}
 }
 
-// convict gives a part a verdict. The caller holds q.mu.
+// convict gives a trait a verdict. The caller holds q.mu.
 func (q *Quarantine) convict(now time.Time, s *suspect) {
 	length := verdictTime
 	if s.tried() {
 		length = min(2*s.verdict.Until.Sub(s.verdict.At), maxVerdictTime)
 	}
-	s.verdict = Convicted{Part: s.part, At: now, Until: now.Add(length), Crashes: len(s.crashes)}
+	s.verdict = Convicted{Trait: s.id, At: now, Until: now.Add(length), Crashes: len(s.crashes), Whole: s.whole()}
 	q.announce()
-	q.withdraw(s.part)
-	q.log(now, s, ownSource).Warn("prompt part is quarantined")
+	q.withdraw(s.id)
+	q.log(now, s, ownSource).Warn(s.noun() + " is quarantined")
 }
 
 // doubtful returns the explained crashes and those in which a suspect was that no
-// upstream has ever answered. These do not convict a part that has been answered. The
+// upstream has ever answered. These do not convict a trait that has been answered. The
 // caller holds q.mu.
 func (q *Quarantine) doubtful(now time.Time, explained map[uint64]bool) map[uint64]bool {
 	crashes := maps.Clone(explained)
@@ -240,18 +240,50 @@
 	return crashes
 }
 
-// explained returns the crashes that the parts with a verdict explain. The caller
-// holds q.mu.
-func (q *Quarantine) explained(now time.Time) map[uint64]bool {
-	var crashes map[uint64]bool
-	for _, s := range q.suspects {
-		if !s.convicted(now) {
-			continue
+// explanation holds the crashes that the traits with a verdict explain.
+type explanation struct {
+	crashes map[uint64]bool
+	traits  []*suspect // with a verdict
+}
+
+// explanation returns what the verdicts in force explain. The caller holds q.mu.
+func (q *Quarantine) explanation(now time.Time) explanation {
+	var e explanation
+	for _, v := range q.suspects {
+		if v.convicted(now) {
+			e.add(v)
 		}
-		if crashes == nil {
-			crashes = map[uint64]bool{}
+	}
+	return e
+}
+
+// add adds a trait with a verdict.
+func (e *explanation) add(v *suspect) {
+	if e.crashes == nil {
+		e.crashes = map[uint64]bool{}
+	}
+	v.addTo(e.crashes)
+	e.traits = append(e.traits, v)
+}
+
+// of returns the crashes of the suspect s that are explained. A whole request explains no
+// crash of a part that was in all of its crashes and in others.
+func (e explanation) of(s *suspect) map[uint64]bool {
+	exceeded := func(v *suspect) bool { return v.whole() && !s.whole() && s.exceeds(v) }
+	if !slices.ContainsFunc(e.traits, exceeded) {
+		return e.crashes
+	}
+	var rest explanation
+	for _, v := range e.traits {
+		if !exceeded(v) {
+			rest.add(v)
 		}
-		s.addTo(crashes)
 	}
-	return crashes
+	return rest.crashes
+}
+
+// explained returns the crashes of the suspect s that a verdict explains. The caller holds
+// q.mu.
+func (q *Quarantine) explained(now time.Time, s *suspect) map[uint64]bool {
+	return q.explanation(now).of(s)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/assert"
 
 	"knapweedwell/quarantine"
-	"knapweedwell/request"
 	"knapweedwell/route"
 )
 
@@ -76,12 +75,15 @@
 	return id
 }
 
-func parts(names ...string) []request.Part {
-	var parts []request.Part
+// parts returns the traits with the IDs in hex. Those of whole requests begin with an equals
+// sign.
+func parts(names ...string) []quarantine.Trait {
+	var traits []quarantine.Trait
 	for _, name := range names {
-		parts = append(parts, request.Part{ID: partID(name), Tokens: 1})
+		id, whole := strings.CutPrefix(name, "=")
+		traits = append(traits, quarantine.Trait{ID: partID(id), Whole: whole})
 	}
-	return parts
+	return traits
 }
 
 func (s *script) step(line string, now time.Time, step string, args []string) {
@@ -109,10 +111,10 @@
 		}
 		q.Leaving(now, us)
 	case "implicated":
-		q.Apply(now, []quarantine.Fact{quarantine.Implicated{Part: partID(args[0]), Crash: quarantine.CrashID(upstream(args[1])), At: s.time(args[2])}})
+		q.Apply(now, []quarantine.Fact{quarantine.Implicated{Trait: partID(args[0]), Crash: quarantine.CrashID(upstream(args[1])), At: s.time(args[2])}})
 	case "convicted":
 		at := s.time(args[1])
-		q.Apply(now, []quarantine.Fact{quarantine.Convicted{Part: partID(args[0]), At: at, Until: at.Add(10 * time.Minute), Crashes: 4}})
+		q.Apply(now, []quarantine.Fact{quarantine.Convicted{Trait: partID(args[0]), At: at, Until: at.Add(10 * time.Minute), Crashes: 4}})
 	default:
 		s.expect(line, now, step, args)
 	}
@@ -125,7 +127,7 @@
 	case "quarantined":
 		var got []string
 		for _, v := range s.q.Verdicts(now) {
-			got = append(got, quarantine.PartName(v.Part))
+			got = append(got, quarantine.TraitName(v.Trait))
 		}
 		if args[0] == "none" {
 			args = nil
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -11,7 +10,7 @@
 
 const (
 	maxSuspects      = 1024
-	maxCrashes       = 16 // crashes kept for a part
+	maxCrashes       = 16 // crashes kept for a trait
 	maxRecentCrashes = 256
 	maxLoggedNames   = 8
 	addressHashBits  = 32 // upper bits of a crash's ID, which tell addresses apart
@@ -20,23 +19,23 @@
 	peerSource = "peer"
 )
 
-// suspect is what is known of a part that was implicated in a crash.
+// suspect is what is known of a trait that was implicated in a crash.
 type suspect struct {
-	part       uint64
+	id         uint64
 	number     uint64    // rises from suspect to suspect
-	place      int       // highest known place in a prompt, from 0
+	place      int       // highest known place in a request, from 0
 	crashes    []crash   // not voided by an answer, the oldest first
 	answeredAt time.Time // when an upstream last survived an answer
 	verdict    Convicted // zero if there is none
-	running    int       // number of requests with the part while it is suspected or was convicted
-	touchedAt  time.Time // when a fact about the part was last learned
+	running    int       // number of requests with the trait while it is suspected or was convicted
+	touchedAt  time.Time // when a fact about the trait was last learned
 	suspected  bool      // the suspicion was logged
 
 	shareAnswerUntil time.Time // until when peers are told of the answer
 	released         bool      // the answer ended a verdict
 }
 
-// crash is a crash in which a part was implicated.
+// crash is a crash in which a trait was implicated.
 type crash struct {
 	id        uint64
 	at        time.Time
@@ -46,7 +45,7 @@
 	common    bool   // the cause was common to several upstreams, and no request
 }
 
-// tried reports whether the part had a verdict that no answer has ended.
+// tried reports whether the trait had a verdict that no answer has ended.
 func (s *suspect) tried() bool {
 	return !s.verdict.At.IsZero()
 }
@@ -56,7 +55,7 @@
 	return s.tried() && now.Before(s.verdict.Until)
 }
 
-// onProbation reports whether the part's verdict has ended by time.
+// onProbation reports whether the trait's verdict has ended by time.
 func (s *suspect) onProbation(now time.Time) bool {
 	return s.tried() && !now.Before(s.verdict.Until)
 }
@@ -81,7 +80,7 @@
 	return next
 }
 
-// othersNear returns the number of crashes near time t in which the part was not.
+// othersNear returns the number of crashes near time t in which the trait was not.
 func (s *suspect) othersNear(t time.Time, recent []crash) int {
 	n := 0
 	for _, c := range recent {
@@ -92,7 +91,22 @@
 	return n
 }
 
-// holds reports whether the part is known to have been in a crash.
+// whole reports whether the trait is a whole request.
+func (s *suspect) whole() bool {
+	return s.place >= wholePlace || s.verdict.Whole
+}
+
+// noun returns what the trait is, as it is logged.
+func (s *suspect) noun() string {
+	return Convicted{Whole: s.whole()}.Noun()
+}
+
+// exceeds reports whether the trait was in all crashes of another one and in others.
+func (s *suspect) exceeds(o *suspect) bool {
+	return len(s.crashes) > len(o.crashes) && !slices.ContainsFunc(o.crashes, func(c crash) bool { return !s.holds(c.id) })
+}
+
+// holds reports whether the trait is known to have been in a crash.
 func (s *suspect) holds(id uint64) bool {
 	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.id == id })
 }
@@ -117,7 +131,7 @@
 	return n, len(addresses) >= minAddresses
 }
 
-// evidence returns the number of occasions against a part without a verdict in force,
+// evidence returns the number of occasions against a trait without a verdict in force,
 // and whether they convict it.
 func (s *suspect) evidence(now time.Time, explained map[uint64]bool) (int, bool) {
 	if s.convicted(now) || (!s.tried() && len(s.crashes) < convictOccasions) {
@@ -134,7 +148,7 @@
 }
 
 // furtherOccasions returns the number of further occasions that are necessary against a
-// part which was answered shortly before.
+// trait which was answered shortly before.
 func (s *suspect) furtherOccasions() int {
 	if len(s.crashes) > 0 && s.answeredRecently(s.crashes[0].at) {
 		return 1
@@ -142,12 +156,12 @@
 	return 0
 }
 
-// answeredRecently reports whether an upstream answered the part shortly before time t.
+// answeredRecently reports whether an upstream answered the trait shortly before time t.
 func (s *suspect) answeredRecently(t time.Time) bool {
 	return !s.answeredAt.IsZero() && t.Sub(s.answeredAt) < recentTime
 }
 
-// limited reports whether only one request with the part may run at a time.
+// limited reports whether only one request with the trait may run at a time.
 func (s *suspect) limited(now time.Time, explained map[uint64]bool) bool {
 	if s.onProbation(now) {
 		return true
@@ -170,10 +184,10 @@
 	return true
 }
 
-// before reports whether o is convicted rather than s if the evidence is equal: the part
+// before reports whether o is convicted rather than s if the evidence is equal: the trait
 // that is later in the prompts, which fewer requests share. All instances decide alike.
 func (s *suspect) before(o *suspect) bool {
-	return cmp.Or(cmp.Compare(s.place, o.place), cmp.Compare(s.part, o.part)) < 0
+	return cmp.Or(cmp.Compare(s.place, o.place), cmp.Compare(s.id, o.id)) < 0
 }
 
 // addTo adds the IDs of the crashes to a set.
@@ -201,10 +215,20 @@
 	return voided
 }
 
-// suspectOf returns the suspect of a part and creates it if necessary. The caller holds
+// answeredAt returns when a trait was last answered, the zero time if that is not known. The
+// caller holds q.mu.
+func (q *Quarantine) answeredAt(trait uint64) time.Time {
+	part, whole := q.answered.at(trait), q.served.at(trait)
+	if whole.After(part) {
+		return whole
+	}
+	return part
+}
+
+// suspectOf returns the suspect of a trait and creates it if necessary. The caller holds
 // q.mu.
-func (q *Quarantine) suspectOf(now time.Time, part uint64) *suspect {
-	s := q.suspects[part]
+func (q *Quarantine) suspectOf(now time.Time, trait uint64) *suspect {
+	s := q.suspects[trait]
 	if s != nil {
 		s.touchedAt = now
 		return s
@@ -214,8 +238,8 @@
 	}
 	q.makeRoom(now)
 	q.created++
-	s = &suspect{part: part, number: q.created, answeredAt: q.answered.at(part), touchedAt: now}
-	q.suspects[part] = s
+	s = &suspect{id: trait, number: q.created, answeredAt: q.answeredAt(trait), touchedAt: now}
+	q.suspects[trait] = s
 	return s
 }
 
@@ -223,12 +247,12 @@
 // least important one. The caller holds q.mu.
 func (q *Quarantine) makeRoom(now time.Time) {
 	var least *suspect
-	for part, s := range q.suspects {
+	for trait, s := range q.suspects {
 		if s.running > 0 {
 			continue
 		}
 		if s.expired(now) {
-			delete(q.suspects, part)
+			delete(q.suspects, trait)
 			continue
 		}
 		if least == nil || s.lessImportant(least) {
@@ -236,11 +260,11 @@
 		}
 	}
 	if len(q.suspects) >= maxSuspects && least != nil {
-		delete(q.suspects, least.part)
+		delete(q.suspects, least.id)
 	}
 }
 
-// expired reports whether nothing that is known of the part counts any more.
+// expired reports whether nothing that is known of the trait counts any more.
 func (s *suspect) expired(now time.Time) bool {
 	if s.tried() {
 		return now.Sub(s.verdict.Until) > 2*s.verdict.Until.Sub(s.verdict.At)
@@ -275,10 +299,10 @@
 	return all
 }
 
-// implicate records that a part was implicated in a crash. The caller holds q.mu.
-func (q *Quarantine) implicate(now time.Time, part uint64, place int, c crash, source string) {
+// implicate records that a trait was implicated in a crash. The caller holds q.mu.
+func (q *Quarantine) implicate(now time.Time, trait uint64, place int, c crash, source string) {
 	q.recordCrash(c)
-	s := q.suspectOf(now, part)
+	s := q.suspectOf(now, trait)
 	s.place = max(s.place, place)
 	if !s.addCrash(c) {
 		if source == peerSource && !c.at.After(s.answeredAt) {
@@ -290,9 +314,9 @@
 	if source == ownSource {
 		q.changed = true
 	}
-	if !s.suspected && !s.tried() && s.limited(now, q.explained(now)) {
+	if !s.suspected && !s.tried() && s.limited(now, q.explained(now, s)) {
 		s.suspected = true
-		q.log(now, s, source).Warn("prompt part is suspected")
+		q.log(now, s, source).Warn(s.noun() + " is suspected")
 	}
 }
 
@@ -307,7 +331,7 @@
 	}
 }
 
-// shareAnswer lets peers know of the part's answer unless that was done just now. The
+// shareAnswer lets peers know of the trait's answer unless that was done just now. The
 // caller holds q.mu.
 func (q *Quarantine) shareAnswer(now time.Time, s *suspect) {
 	if now.Before(s.shareAnswerUntil.Add(-freshTime / 2)) {
@@ -318,9 +342,9 @@
 	q.announce()
 }
 
-// clear records an answer with a part. The caller holds q.mu.
-func (q *Quarantine) clear(now time.Time, part uint64, at time.Time, source string) {
-	s := q.suspects[part]
+// clear records an answer with a trait. The caller holds q.mu.
+func (q *Quarantine) clear(now time.Time, trait uint64, at time.Time, source string) {
+	s := q.suspects[trait]
 	if s == nil {
 		return
 	}
@@ -337,11 +361,11 @@
 	}
 	if len(s.crashes) == 0 && (s.suspected || (convicted && !s.tried())) {
 		s.suspected = false
-		age.Info("prompt part is released")
+		age.Info(s.noun() + " is released")
 	}
 }
 
-// log returns a log entry with the evidence against a part. The caller holds q.mu.
+// log returns a log entry with the evidence against a trait. The caller holds q.mu.
 func (q *Quarantine) log(now time.Time, s *suspect, source string) *logrus.Entry {
 	occasions, _ := s.occasions(now, nil, 0)
 	var upstreams []string
@@ -351,7 +375,7 @@
 		}
 	}
 	fields := logrus.Fields{
-		"Part": PartName(s.part), "Crashes": len(s.crashes), "Occasions": occasions, "Upstreams": upstreams, "Source": source,
+		"Part": TraitName(s.id), "Crashes": len(s.crashes), "Occasions": occasions, "Upstreams": upstreams, "Source": source,
 	}
 	if len(s.crashes) > 0 {
 		fields["AgeMillis"] = now.Sub(s.crashes[0].at).Milliseconds()
@@ -361,8 +385,3 @@
 	}
 	return q.Log.WithFields(fields)
 }
-
-// PartName returns a part's ID as it is logged.
-func PartName(part uint64) string {
-	return fmt.Sprintf("%x", part)
-}
--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -19,8 +19,9 @@
 
 // crashingFleet lets upstreams crash and return.
 type crashingFleet struct {
-	sim    *routeSimulation
-	faults runner.Faults
+	sim     *routeSimulation
+	service string
+	faults  runner.Faults
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -30,7 +31,7 @@
 // startModels starts upstreams of the service model which crash on the deadly part, in
 // place of those of the simulation.
 func startModels(sim *routeSimulation, n int, f runner.Faults) *crashingFleet {
-	fleet := &crashingFleet{sim: sim, faults: f, down: map[string]time.Time{}}
+	fleet := &crashingFleet{sim: sim, service: "model", faults: f, down: map[string]time.Time{}}
 	for id := range sim.runners {
 		if strings.HasPrefix(id, "model") {
 			sim.store.Delete("servers", id)
@@ -53,7 +54,7 @@
 	r.OnCrash = func() { c.crash(id, c.sim.hosts[id]) }
 	c.sim.runners[id] = r
 	c.sim.serve(c.sim.hosts[id]+":80", r.Handler())
-	c.sim.putEntry(id, "model", "ready")
+	c.sim.putEntry(id, c.service, "ready")
 }
 
 // crash resets the connections of an upstream and closes its listener.
--- a/simulation/edge_verdict_test.go
+++ b/simulation/edge_verdict_test.go
@@ -18,7 +18,7 @@
 // convict gives an instance a verdict on the part, as if it had found it.
 func (sim *routeSimulation) convict(instance int, length time.Duration) {
 	now := time.Now()
-	sim.instances[instance].Quarantine.Apply(now, []quarantine.Fact{quarantine.Convicted{Part: verdictID, At: now, Until: now.Add(length), Crashes: 5}})
+	sim.instances[instance].Quarantine.Apply(now, []quarantine.Fact{quarantine.Convicted{Trait: verdictID, At: now, Until: now.Add(length), Crashes: 5}})
 	sim.instances[instance].Exchange.ShareFacts()
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -53,6 +53,10 @@
 	Delay      time.Duration // time until the first event or the answer
 	Pause      time.Duration // time between events
 	DeadlyPart string        // ID of the prompt part on which the upstream crashes when it begins to answer; empty for none
+	// DeadlyTarget is the target of the request that crashes the upstream, a stream after
+	// DeadlyEvents events; empty for none.
+	DeadlyTarget string
+	DeadlyEvents int
 }
 
 // ReceivedRequest is one request as received.
@@ -279,11 +283,9 @@
 		r.recordDisconnect()
 		return
 	}
-	if f.DeadlyPart != "" && holdsPart(req, f.DeadlyPart) {
-		if r.OnCrash != nil {
-			r.OnCrash()
-		}
-		panic(http.ErrAbortHandler)
+	deadly := f.DeadlyTarget != "" && req.RequestURI == f.DeadlyTarget && f.DeadlyEvents == 0
+	if deadly || (f.DeadlyPart != "" && holdsPart(req, f.DeadlyPart)) {
+		r.crash()
 	}
 	if f.DropAnswer {
 		panic(http.ErrAbortHandler)
@@ -311,6 +313,14 @@
 	}
 }
 
+// crash ends the connection of a request, and all others if OnCrash does.
+func (r *Runner) crash() {
+	if r.OnCrash != nil {
+		r.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // holdsPart reports whether the prompt of a request has a part with the ID.
 func holdsPart(req *http.Request, id string) bool {
 	for _, item := range strings.Split(req.Header.Get(promptHeader), ",") {
@@ -340,6 +350,9 @@
 		}
 		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", k, k, id)
 		_ = controller.Flush()
+		if f.DeadlyTarget == req.RequestURI && k == last+f.DeadlyEvents {
+			r.crash()
+		}
 		if !r.pause(req.Context(), f.Pause) {
 			return
 		}
--- a/verdictstore/service.go
+++ b/verdictstore/service.go
@@ -1,4 +1,4 @@
-// Package verdictstore keeps the verdicts on prompt parts in the platform's store, so that
+// Package verdictstore keeps the verdicts on what crashes upstreams in the platform's store, so that
 // they outlast the instances: the instances that follow the store write and delete them,
 // and an instance that starts or hears no peer reads them.
 package verdictstore
@@ -34,7 +34,7 @@
 	endTolerance = time.Second
 )
 
-// Verdicts holds the verdicts and the other facts about prompt parts.
+// Verdicts holds the verdicts and the other facts about what crashes upstreams.
 type Verdicts interface {
 	Apply(now time.Time, facts []quarantine.Fact)
 	Facts(now time.Time) []quarantine.Fact
@@ -145,7 +145,7 @@
 		}
 		pause = min(2*pause, maxStartBackoff)
 		if !logged {
-			s.Log.WithField("Error", err.Error()).Warn("verdicts on prompt parts were fetched from neither a peer nor the store yet")
+			s.Log.WithField("Error", err.Error()).Warn("verdicts were fetched from neither a peer nor the store yet")
 		}
 		logged = true
 	}
@@ -181,11 +181,11 @@
 	verdicts := map[uint64]quarantine.Convicted{}
 	for _, f := range s.Verdicts.Facts(now) {
 		if v, ok := f.(quarantine.Convicted); ok {
-			verdicts[v.Part] = v
+			verdicts[v.Trait] = v
 		}
 	}
 	for _, v := range s.Verdicts.Verdicts(now) {
-		verdicts[v.Part] = v
+		verdicts[v.Trait] = v
 	}
 	return verdicts
 }
@@ -194,7 +194,7 @@
 func (s *Service) writeDue(now time.Time, v quarantine.Convicted) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.recordOf(v.Part)
+	r := s.recordOf(v.Trait)
 	r.seen = true
 	if !now.Before(v.Until) || now.Before(r.nextTry) {
 		return false
--- a/verdictstore/store.go
+++ b/verdictstore/store.go
@@ -14,7 +14,7 @@
 // fields returns the fields of a log line about a verdict.
 func fields(now time.Time, v quarantine.Convicted) logrus.Fields {
 	return logrus.Fields{
-		"Part": quarantine.PartName(v.Part), "Crashes": v.Crashes, "AgeMillis": now.Sub(v.At).Milliseconds(), "RemainingSeconds": int(v.Until.Sub(now).Seconds()),
+		"Part": quarantine.TraitName(v.Trait), "Crashes": v.Crashes, "AgeMillis": now.Sub(v.At).Milliseconds(), "RemainingSeconds": int(v.Until.Sub(now).Seconds()),
 	}
 }
 
@@ -24,7 +24,7 @@
 	now := time.Now()
 	era := s.Platform.Era()
 	s.mu.Lock()
-	revision := s.recordOf(v.Part).revisionIn(era)
+	revision := s.recordOf(v.Trait).revisionIn(era)
 	s.mu.Unlock()
 	stored, written, err := s.put(ctx, now, v, revision)
 	if err != nil {
@@ -32,11 +32,11 @@
 		return false
 	}
 	s.mu.Lock()
-	r := s.recordOf(v.Part)
+	r := s.recordOf(v.Trait)
 	r.verdict, r.revision, r.era, r.backoff = stored.Verdict, stored.Revision, era, 0
 	s.mu.Unlock()
 	if written {
-		s.Log.WithFields(fields(now, v)).Info("verdict on a prompt part stored")
+		s.Log.WithFields(fields(now, v)).Info("verdict on a " + v.Noun() + " stored")
 		return true
 	}
 	s.Verdicts.Apply(now, []quarantine.Fact{stored.Verdict})
@@ -51,7 +51,7 @@
 	if err != nil {
 		return own, false, err
 	}
-	name := quarantine.PartName(v.Part)
+	name := quarantine.TraitName(v.Trait)
 	if revision == 0 {
 		o, created, err := s.Platform.CreateOrGet(ctx, platform.VerdictKind, name, value)
 		if err != nil || created {
@@ -73,14 +73,14 @@
 func (s *Service) recordFailure(v quarantine.Convicted, err error) {
 	now := time.Now()
 	s.mu.Lock()
-	r := s.recordOf(v.Part)
+	r := s.recordOf(v.Trait)
 	first := r.backoff == 0
 	r.backoff = min(max(2*r.backoff, initialBackoff), maxBackoff)
 	r.nextTry = now.Add(r.backoff)
 	r.revision = 0
 	s.mu.Unlock()
 	if first {
-		s.Log.WithFields(fields(now, v)).WithField("Error", err.Error()).Warn("verdict on a prompt part could not be stored yet")
+		s.Log.WithFields(fields(now, v)).WithField("Error", err.Error()).Warn("verdict on a " + v.Noun() + " could not be stored yet")
 	}
 }
 
@@ -90,7 +90,7 @@
 	s.mu.Lock()
 	revision := s.recordOf(part).revisionIn(era)
 	s.mu.Unlock()
-	err := s.deleteObject(ctx, quarantine.PartName(part), revision)
+	err := s.deleteObject(ctx, quarantine.TraitName(part), revision)
 	gone := err == nil || errors.Is(err, platform.ErrNotFound)
 	s.mu.Lock()
 	r := s.recordOf(part)
@@ -101,12 +101,12 @@
 		r.nextTry = time.Now().Add(readPeriod)
 	}
 	s.mu.Unlock()
-	entry := s.Log.WithField("Part", quarantine.PartName(part))
+	entry := s.Log.WithField("Part", quarantine.TraitName(part))
 	if gone {
-		entry.Info("verdict on a prompt part deleted from the store")
+		entry.Info("verdict deleted from the store")
 		return
 	}
-	entry.WithField("Error", err.Error()).Warn("verdict on a prompt part could not be deleted from the store yet")
+	entry.WithField("Error", err.Error()).Warn("verdict could not be deleted from the store yet")
 }
 
 // revisionIn returns the revision of the object in an era of the store, zero if it is not
@@ -153,7 +153,7 @@
 	s.lastRead = time.Now()
 	s.mu.Unlock()
 	if err := s.readWithin(ctx, readPeriod); err != nil {
-		s.Log.WithField("Error", err.Error()).Debug("verdicts on prompt parts were not read from the store")
+		s.Log.WithField("Error", err.Error()).Debug("verdicts were not read from the store")
 	}
 }
 
@@ -167,12 +167,12 @@
 	for _, o := range l.Objects {
 		v, err := platform.DecodeVerdict(now, o)
 		if err != nil {
-			s.Log.WithFields(logrus.Fields{"Entry": o.Name, "Error": err.Error()}).Warn("stored verdict on a prompt part cannot be read")
+			s.Log.WithFields(logrus.Fields{"Entry": o.Name, "Error": err.Error()}).Warn("stored verdict cannot be read")
 			continue
 		}
-		listed[v.Verdict.Part] = true
-		if _, ok := known[v.Verdict.Part]; !ok {
-			s.Log.WithFields(fields(now, v.Verdict)).WithField("Source", "store").Warn("verdict on a prompt part learned")
+		listed[v.Verdict.Trait] = true
+		if _, ok := known[v.Verdict.Trait]; !ok {
+			s.Log.WithFields(fields(now, v.Verdict)).WithField("Source", "store").Warn("verdict on a " + v.Verdict.Noun() + " learned")
 		}
 		facts = append(facts, v.Verdict)
 		s.recordListed(v, l.Era)
@@ -189,7 +189,7 @@
 func (s *Service) recordListed(v platform.StoredVerdict, era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.recordOf(v.Verdict.Part)
+	r := s.recordOf(v.Verdict.Trait)
 	if era > r.era || v.Revision > r.revision {
 		r.verdict, r.revision, r.era, r.seen, r.backoff = v.Verdict, v.Revision, era, true, 0
 	}
@@ -213,7 +213,7 @@
 // checkDeleted ends a verdict whose object no longer exists, because an operator has
 // deleted it or another instance knows that the verdict has ended.
 func (s *Service) checkDeleted(ctx context.Context, part uint64) {
-	_, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.PartName(part))
+	_, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.TraitName(part))
 	if !errors.Is(err, platform.ErrNotFound) {
 		return
 	}
@@ -221,8 +221,8 @@
 	s.mu.Lock()
 	delete(s.stored, part)
 	s.mu.Unlock()
-	released := []quarantine.Fact{quarantine.Released{Part: part, At: now}}
+	released := []quarantine.Fact{quarantine.Released{Trait: part, At: now}}
 	s.Verdicts.Apply(now, released)
 	s.Tell(released)
-	s.Log.WithField("Part", quarantine.PartName(part)).Warn("verdict on a prompt part ended: its object was deleted from the store")
+	s.Log.WithField("Part", quarantine.TraitName(part)).Warn("verdict ended: its object was deleted from the store")
 }
--- a/verdictstore/trial.go
+++ b/verdictstore/trial.go
@@ -41,11 +41,11 @@
 	s.mu.Lock()
 	s.trials[part] = t
 	s.mu.Unlock()
-	entry := s.Log.WithFields(logrus.Fields{"Part": quarantine.PartName(part), "Granted": t.granted, "Millis": t.end.Sub(now).Milliseconds()})
+	entry := s.Log.WithFields(logrus.Fields{"Part": quarantine.TraitName(part), "Granted": t.granted, "Millis": t.end.Sub(now).Milliseconds()})
 	if err != nil {
 		entry = entry.WithField("Error", err.Error())
 	}
-	entry.Info("trial of a prompt part")
+	entry.Info("trial after a verdict")
 	return t.granted
 }
 
@@ -90,7 +90,7 @@
 	if err != nil {
 		return undecided, err
 	}
-	revision, err = s.Platform.Update(ctx, platform.VerdictKind, quarantine.PartName(part), value, revision)
+	revision, err = s.Platform.Update(ctx, platform.VerdictKind, quarantine.TraitName(part), value, revision)
 	if err != nil {
 		return undecided, err
 	}
@@ -104,11 +104,11 @@
 // storedVerdict returns the stored verdict on a part, or the own one with revision zero if
 // none is stored.
 func (s *Service) storedVerdict(ctx context.Context, now time.Time, part uint64) (platform.StoredVerdict, error) {
-	o, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.PartName(part))
+	o, err := s.Platform.Get(ctx, platform.VerdictKind, quarantine.TraitName(part))
 	if errors.Is(err, platform.ErrNotFound) {
 		verdict, ok := s.current(now)[part]
 		if !ok {
-			verdict = quarantine.Convicted{Part: part, At: now, Until: now}
+			verdict = quarantine.Convicted{Trait: part, At: now, Until: now}
 		}
 		return platform.StoredVerdict{Verdict: verdict}, nil
 	}
--- a/verdictstore/verdictstore_test.go
+++ b/verdictstore/verdictstore_test.go
@@ -67,7 +67,7 @@
 // convict gives a service a verdict that ends after a time.
 func (fl *testFleet) convict(i int, left time.Duration) quarantine.Convicted {
 	now := time.Now()
-	v := quarantine.Convicted{Part: testPart, At: now.Add(-time.Minute), Until: now.Add(left), Crashes: 5}
+	v := quarantine.Convicted{Trait: testPart, At: now.Add(-time.Minute), Until: now.Add(left), Crashes: 5}
 	fl.known[i].Apply(now, []quarantine.Fact{v})
 	return v
 }
@@ -152,7 +152,7 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, s.recordOf(testPart).backoff, time.Duration(0))
 	now := time.Now()
-	fl.known[0].Apply(now, []quarantine.Fact{quarantine.Released{Part: testPart, At: now}})
+	fl.known[0].Apply(now, []quarantine.Fact{quarantine.Released{Trait: testPart, At: now}})
 	s.step(ctx)
 	_, ok = fl.stored(t)
 	assert.Assert(t, !ok, "the verdict is still stored")
@@ -167,7 +167,7 @@
 	fl.store.SetFaults(standin.Faults{LoseAnswers: 1})
 	s.step(ctx)
 	now := time.Now()
-	fl.known[0].Apply(now, []quarantine.Fact{quarantine.Released{Part: testPart, At: now}})
+	fl.known[0].Apply(now, []quarantine.Fact{quarantine.Released{Trait: testPart, At: now}})
 	time.Sleep(initialBackoff)
 	s.step(ctx)
 	_, ok := fl.stored(t)
@@ -189,7 +189,7 @@
 	v.TrialEnd = time.Now().Add(-time.Second)
 	value, err := platform.EncodeVerdict(time.Now(), v)
 	assert.NilError(t, err)
-	_, err = fl.clients[0].Update(context.Background(), platform.VerdictKind, quarantine.PartName(testPart), value, v.Revision)
+	_, err = fl.clients[0].Update(context.Background(), platform.VerdictKind, quarantine.TraitName(testPart), value, v.Revision)
 	assert.NilError(t, err)
 	calls := fl.clients[2].Calls()
 	assert.Assert(t, !fl.services[2].Trial(testPart), "an instance asks again before the time is over")
@@ -241,7 +241,7 @@
 	fl.convict(0, 10*time.Minute)
 	s.step(ctx)
 	time.Sleep(600 * time.Millisecond) // the store takes a copy
-	fl.known[0].Apply(time.Now(), []quarantine.Fact{quarantine.Released{Part: testPart, At: time.Now()}})
+	fl.known[0].Apply(time.Now(), []quarantine.Fact{quarantine.Released{Trait: testPart, At: time.Now()}})
 	s.step(ctx)
 	_, ok := fl.stored(t)
 	assert.Assert(t, !ok)
