Answer the requests that the end of a planned stop would cut off

It can happen here, too: a request that was taken before the stop or in its first 2.5 s and that is still at work at the end lost its connection. Later ones are refused, as TestStopRefusesWhatCannotEnd shows.

Cause: the end of the stop closed the listener and all connections; only the deadline of a request ended it with an answer.

Streams that have begun are still cut off, since nothing else shows that they are not whole.

Evidence: TestStopAnswersWhatItCuts (before the stop and in it, calls that may run once, safe ones, streams) fails before, connection closed without an answer, and passes now.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -103,13 +103,18 @@
 	return f
 }
 
-// context returns the context of the sends. It ends at the request's deadline,
-// and also when the caller disconnects, unless the request may run only once
-// and is not a stream.
+// context returns the context of the sends. It ends at the request's deadline, at the end
+// of a planned stop, and also when the caller disconnects, unless the request may run only
+// once and is not a stream.
 func (rs *requestState) context() (context.Context, context.CancelFunc) {
 	ctx := rs.r.Context()
 	if !rs.route.Repeatable() && !rs.route.Stream {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithDeadline(ctx, rs.deadline)
+	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
+	release := context.AfterFunc(rs.s.ended, cancel)
+	return ctx, func() {
+		release()
+		cancel()
+	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,6 +61,8 @@
 
 	server  *webserver.Server
 	leaving atomic.Pointer[leaving] // the planned stop, nil before it
+	ended   context.Context         // ends with the planned stop
+	endAll  context.CancelFunc
 	mu      sync.Mutex
 	active  map[*requestState]bool // requests in progress
 	lastEnd time.Time              // when a request last ended
@@ -70,6 +72,7 @@
 // Run starts listening.
 func (s *Server) Run(*kernel.Kernel) error {
 	s.lastEnd = time.Now()
+	s.ended, s.endAll = context.WithCancel(context.Background())
 	s.active = map[*requestState]bool{}
 	s.server = &webserver.Server{
 		Address: s.Address, Handler: s, Listen: s.Listen,
@@ -83,6 +86,7 @@
 // Close closes all connections.
 func (s *Server) Close() error {
 	err := s.server.Close()
+	s.endAll()
 	s.probes.Close()
 	return err
 }
@@ -92,11 +96,14 @@
 	began, end time.Time
 }
 
-// Leave begins the planned stop, which cuts off requests at its end: each connection
-// is closed after its next answer, and requests that are not expected to end in time
-// are refused.
+// Leave begins the planned stop: each connection is closed after its next answer, and
+// requests that are not expected to end in time are refused. At its end the requests in
+// progress are answered that their outcome is unknown, or cut off if their answers have
+// begun.
 func (s *Server) Leave(now, end time.Time) {
-	s.leaving.CompareAndSwap(nil, &leaving{began: now, end: end})
+	if s.leaving.CompareAndSwap(nil, &leaving{began: now, end: end}) {
+		time.AfterFunc(end.Sub(now), s.endAll)
+	}
 }
 
 // Shutdown closes the listener and waits until the requests on the connections that
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -227,10 +227,14 @@
 	if rs.callerGone {
 		return request.Unknown("the caller left")
 	}
+	reason := "the time of the request has passed"
+	if rs.s.ended.Err() != nil {
+		reason = "this instance has left"
+	}
 	if rs.runs > 0 {
-		return request.Unknown("the time of the request has passed: %v", ctx.Err())
+		return request.Unknown("%s: %v", reason, ctx.Err())
 	}
-	return request.Unavailable("the time of the request passed before an upstream took it").WithRetryAfter(notRunRetryAfter)
+	return request.Unavailable("%s before an upstream took it", reason).WithRetryAfter(notRunRetryAfter)
 }
 
 // deliver writes a complete answer to the caller.
--- a/simulation/edge_stop_test.go
+++ b/simulation/edge_stop_test.go
@@ -227,3 +227,61 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return true, err == nil
 }
+
+// TestStopAnswersWhatItCuts guards against requests that are still at work at the end of a
+// planned stop and end without an answer, among them requests that may run once only.
+func TestStopAnswersWhatItCuts(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, c := range []struct {
+		name  string
+		after time.Duration // from the start of the stop to the request
+		path  string
+	}{
+		{"call that may run once, before the stop", -500 * time.Millisecond, "/book/1"},
+		{"call that may run once, in the stop", 2 * time.Second, "/book/1"},
+		{"safe call, in the stop", 2 * time.Second, "/bulk/1"},
+		{"stream before its first event, in the stop", 2 * time.Second, "/once/1?events=3"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulateRoutes(t, 2, func(sim *routeSimulation) {
+				sim.setFaults("", runner.Faults{Delay: 20 * time.Second})
+				sim.longTimeouts = true
+				sim.writeRoutes()
+				time.Sleep(3 * time.Second)
+				stopped := sim.instances[0]
+				sim.instances[0] = nil
+				var resp response
+				var took time.Duration
+				var wg sync.WaitGroup
+				send := func() {
+					wg.Go(func() {
+						start := time.Now()
+						resp = sim.send(request{path: c.path, id: "a"})
+						took = time.Since(start)
+					})
+				}
+				if c.after < 0 {
+					send()
+					time.Sleep(-c.after)
+				}
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_ = stopped.Stop(context.Background())
+				}()
+				if c.after >= 0 {
+					time.Sleep(c.after)
+					send()
+				}
+				wg.Wait()
+				<-done
+				if !resp.complete || resp.status != http.StatusGatewayTimeout {
+					t.Errorf("status %d, complete %t after %s, expected a whole answer with 504", resp.status, resp.complete, took)
+				}
+				if took > grace-c.after {
+					t.Errorf("the answer came %s after the request, later than the end of the stop", took)
+				}
+			})
+		})
+	}
+}
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -132,6 +132,7 @@
 	services       []string      // backends of the routes without a model
 	changeDeadline time.Duration // setting of the instances
 	addedRoutes    int           // routes beyond those that the tests call
+	longTimeouts   bool          // gives all routes a timeout longer than a planned stop
 	zones          []string      // availability zones of the instances by turns
 }
 
@@ -197,6 +198,9 @@
 		for k, v := range more {
 			route[k] = v
 		}
+		if sim.longTimeouts {
+			route["timeout_ms"] = 30000
+		}
 		return route
 	}
 	model := []map[string]any{{"service": "model", "weight": 1}}
--- a/simulation/edge_unframed_test.go
+++ b/simulation/edge_unframed_test.go
@@ -108,3 +108,24 @@
 		})
 	}
 }
+
+// TestCutHeads guards against an answer whose head was cut anywhere and that looks whole.
+func TestCutHeads(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Knapweedwell-Response-Signature: s\r\nX-Knapweedwell-Request-Id: %s\r\nContent-Length: 10\r\n\r\n"
+	simulateRoutes(t, 1, func(sim *routeSimulation) {
+		u := &textUpstream{}
+		sim.startRawUpstream("calls-raw", "calls", u.serve)
+		sim.startRawUpstream("model-raw", "model", u.serve)
+		for cut := range len(head) {
+			for _, u.reset = range []bool{false, true} {
+				u.texts = []string{head[:cut]}
+				for _, path := range []string{"/book/1", "/once/1"} {
+					got := sim.send(request{path: path, id: "u1"})
+					if got.status != 502 || !got.complete {
+						t.Errorf("%s, head cut after %q, reset %t: got %d, complete %t, %q, expected 502", path, head[:cut], u.reset, got.status, got.complete, got.body)
+					}
+				}
+			}
+		}
+	})
+}
