Run nothing twice after the store came back from a copy

What callers would see: a booking with an idempotency key runs twice, though the first answer said that it was done or that it is still running.

Cause: a claim that was taken in the seconds which the store then lost is gone, and the next instance with the key acquired it. An outcome that was to be recorded found no object and was dropped without a word. Class: what was written is believed to last in every era of the store.

Change: the holder of a claim remembers it for two minutes, hands it to its successor, and writes it again in a new era; so does a late outcome. Until all instances have, one that acquires a key asks the others for it; what they remember wins and is written to the store. If one of them does not answer, or ended lately without a successor, the outcome is unknown and the request is not run. In calm, an instance asks once, with its first claim, whether an era is unsettled.

Evidence: TestRestoredStoreRunsNothingTwice (four cases) fails before, each key acquired twice, and passes now; TestClaimsWrittenAgain, TestOthersAskedOnceInCalm. Remains: claims of an instance that ended without a successor are unknown for two minutes, and forgotten then; if all instances end with the restore, nobody knows of the lost claims.

--- a/claimstore/service.go
+++ b/claimstore/service.go
@@ -51,7 +51,9 @@
 	leaving     bool                    // set once HandOver is called
 	handingOver bool                    // the tables are being transferred
 	successor   string                  // address of the peer that took the tables over
-	expiry      background.Group        // expires old records
+	recent      recentClaims
+	eras        eras
+	expiry      background.Group // expires old records and follows the store's eras
 	saving      background.Group        // saves outcomes and releases claims
 }
 
@@ -63,11 +65,14 @@
 	s.Peers.Handle(finishMethod, s.serveFinish)
 	s.Peers.Handle(releaseMethod, s.serveRelease)
 	s.Peers.Handle(adoptMethod, s.serveAdopt)
+	s.Peers.Handle(recallMethod, s.serveRecall)
+	s.Peers.Handle(keepMethod, s.serveKeep)
 }
 
-// Run starts to expire old records.
+// Run starts to expire old records and to write claims again if the store loses them.
 func (s *Service) Run(*kernel.Kernel) error {
 	s.expiry.Every(expirePeriod, s.expire)
+	s.expiry.Every(eraPeriod, s.checkEra)
 	return nil
 }
 
@@ -164,7 +169,7 @@
 	loc := s.locate(c.Key)
 	switch {
 	case loc.store:
-		return s.Store.Take(ctx, c), nil
+		return s.takeStored(ctx, c), nil
 	case loc.table != nil:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -213,6 +218,7 @@
 	loc := s.locate(c.Key)
 	switch {
 	case loc.store:
+		s.recent.put(time.Now(), storedClaim{Claim: c, Outcome: &o})
 		return s.Store.Finish(ctx, c, o)
 	case loc.table != nil:
 		return s.settle(func() { loc.table.Finish(c, o) })
@@ -226,6 +232,7 @@
 	loc := s.locate(c.Key)
 	switch {
 	case loc.store:
+		s.recent.forget(c)
 		return s.Store.Release(ctx, c)
 	case loc.table != nil:
 		return s.settle(func() { loc.table.Release(c) })
@@ -263,6 +270,9 @@
 			break
 		}
 	}
+	if successor.Name != "" {
+		s.handOverRecent(ctx, successor.Peer)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.handingOver = false
--- a/claimstore/store.go
+++ b/claimstore/store.go
@@ -96,9 +96,13 @@
 }
 
 // replace overwrites the claim's object if the claim's attempt holds the key and
-// has no outcome yet.
+// has no outcome yet. An object that the store has lost is written again.
 func (s *Store) replace(ctx context.Context, c claim.Claim, value []byte) error {
 	o, err := s.heldObject(ctx, c)
+	if errors.Is(err, platform.ErrNotFound) {
+		_, err = s.Platform.Create(ctx, objectKind, objectName(c), value)
+		return err
+	}
 	if err != nil || o == nil {
 		return err
 	}
@@ -107,12 +111,9 @@
 }
 
 // heldObject returns the claim's object if the claim's attempt holds the key and has
-// no outcome yet, and nil otherwise.
+// no outcome yet, and nil otherwise. It returns ErrNotFound if there is no object.
 func (s *Store) heldObject(ctx context.Context, c claim.Claim) (*platform.Object, error) {
 	o, err := s.Platform.Get(ctx, objectKind, objectName(c))
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, nil
-	}
 	if err != nil {
 		return nil, err
 	}
@@ -131,6 +132,9 @@
 func (s *Store) Release(ctx context.Context, c claim.Claim) error {
 	_, err := backoff.Retry(ctx, func() (bool, error) {
 		o, err := s.heldObject(ctx, c)
+		if errors.Is(err, platform.ErrNotFound) {
+			return true, nil
+		}
 		if err != nil || o == nil {
 			return true, err
 		}
