Look for a lost claim in the own memory first

Change: what this instance remembers of the key wins, as what others remember. TestRestoredStoreRunsNothingTwice has the case; it fails before.

--- a/claimstore/era.go
+++ b/claimstore/era.go
@@ -72,6 +72,9 @@
 		return d
 	}
 	now := time.Now()
+	if st := s.recent.get(now, objectName(c)); st != nil && st.Claim.Nonce != c.Nonce {
+		return s.yield(ctx, c, *st)
+	}
 	s.recent.put(now, storedClaim{Claim: c})
 	s.mu.Lock()
 	s.eras.notice(now, s.Store.Platform.Era())
@@ -166,7 +169,7 @@
 // store.
 func (s *Service) yield(ctx context.Context, c claim.Claim, st storedClaim) claim.Decision {
 	s.recent.forget(c)
-	s.Log.WithFields(logrus.Fields{"Holder": st.Claim.Holder, "Done": st.Outcome != nil}).Warn("the store had lost a claim that another instance remembers")
+	s.Log.WithFields(logrus.Fields{"Holder": st.Claim.Holder, "Done": st.Outcome != nil}).Warn("the store had lost a claim that an instance remembers")
 	if err := s.Store.overwrite(ctx, c, st); err != nil {
 		return claim.Undecided{Reason: "the key was used before, which could not be written to the store: " + err.Error()}
 	}
--- a/claimstore/era_test.go
+++ b/claimstore/era_test.go
@@ -83,22 +83,25 @@
 		name   string
 		before func(fl *eraFleet, holder *Service, c claim.Claim) // between the claim and its repetition
 		want   claim.Decision
+
+		sameInstance bool // the key comes again at its holder
 	}{
-		{"still running", func(*eraFleet, *Service, claim.Claim) {}, claim.Busy{Holder: "entry-1@1"}},
+		{"still running", func(*eraFleet, *Service, claim.Claim) {}, claim.Busy{Holder: "entry-1@1"}, false},
+		{"still running at the same instance", func(*eraFleet, *Service, claim.Claim) {}, claim.Busy{Holder: "entry-1@1"}, true},
 		{"ended before", func(fl *eraFleet, holder *Service, c claim.Claim) {
 			assert.NilError(fl.t, holder.finishOnce(fl.t.Context(), c, claim.Outcome{Status: 200}))
-		}, claim.Done{Outcome: claim.Outcome{Status: 200}}},
+		}, claim.Done{Outcome: claim.Outcome{Status: 200}}, false},
 		{"handed over", func(fl *eraFleet, holder *Service, _ claim.Claim) {
 			assert.Equal(fl.t, holder.HandOver(fl.t.Context(), []member.Member{fl.services[2].asMember()}), "entry-3@1")
 			gone := holder.asMember()
 			gone.State, gone.Successor, gone.Beat = member.Gone, "entry-3@1", 1
 			fl.services[1].Heartbeats.With(func(v *member.View) { v.Merge(time.Now(), gone) })
-		}, claim.Busy{Holder: "entry-1@1"}},
+		}, claim.Busy{Holder: "entry-1@1"}, false},
 		{"holder ended", func(fl *eraFleet, holder *Service, _ claim.Claim) {
 			gone := holder.asMember()
 			gone.State, gone.Beat = member.Gone, 1
 			fl.services[1].Heartbeats.With(func(v *member.View) { v.Merge(time.Now(), gone) })
-		}, claim.Undecided{}},
+		}, claim.Undecided{}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			fl := newEraFleet(t, 3)
@@ -111,6 +114,9 @@
 			assert.Equal(t, holder.Take(ctx, held), claim.Acquired{})
 			c.before(fl, holder, held)
 			fl.restore()
+			if c.sameInstance {
+				other = holder
+			}
 			got := other.Take(ctx, other.claimOf("key", "2"))
 			if _, ok := c.want.(claim.Undecided); ok {
 				_, ok := got.(claim.Undecided)
--- a/claimstore/service.go
+++ b/claimstore/service.go
@@ -54,7 +54,7 @@
 	recent      recentClaims
 	eras        eras
 	expiry      background.Group // expires old records and follows the store's eras
-	saving      background.Group        // saves outcomes and releases claims
+	saving      background.Group // saves outcomes and releases claims
 }
 
 // Prepare registers the handlers. It is called before the peer node runs.
