Keep confirmed changes of the configuration when the store comes back from a copy

What operators would see on the chat interface: a change that was confirmed is missing in the store, the next one ends in a conflict without a cause or gets a number below the one in force and is taken nowhere, and an instance that starts serves the older configuration.

Cause: the revision of the configuration was that of the store's object. After a restore the stored one was older than the one in force, and no instance wrote it again; its numbers were given out again for other texts.

Change: in a new era the instances ask each other, and the newest configuration is written to the store again, with a revision that begins with the era and so is higher than all before. Until then no change is applied: the operator is told which instance does not answer. A configuration that lacks a change is not installed over one that has it. A change that was written while the store came back counts only if it holds those of all instances; otherwise its outcome is unclear.

Remains: an instance that is isolated for more than a minute with a change that no other one has; two instances that each hold another change while the one that wrote last has ended (logged; no change is applied until an operator acts).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -43,6 +43,10 @@
 	OperatorService  = "operator"
 )
 
+// maxIsolation is how long an instance that seems to have ended may have been isolated only,
+// and may hold a configuration that no other one has.
+const maxIsolation = time.Minute
+
 // Instance is one instance. The exported fields are set before Run.
 type Instance struct {
 	Settings *setting.Settings
@@ -153,6 +157,7 @@
 		Check:    i.Check,
 		Log:      i.Log,
 		Silence:  i.silence,
+		Others:   i.others,
 	}
 	i.Roster = &roster.Service{
 		Platform: i.Platform,
@@ -177,6 +182,20 @@
 	return silence, known
 }
 
+// others returns the other instances that may run: those that are not gone, and those that
+// may only be isolated.
+func (i *Instance) others() []member.Member {
+	var others []member.Member
+	i.Heartbeats.With(func(v *member.View) {
+		for _, m := range v.All() {
+			if m.Name != v.Self.Name && v.GoneFor(time.Now(), m.Name) < maxIsolation {
+				others = append(others, m)
+			}
+		}
+	})
+	return others
+}
+
 // hasEnded reports whether the incarnation with the identity has ended.
 func (i *Instance) hasEnded(identity string) bool {
 	var ended bool
--- a/revision/apply.go
+++ b/revision/apply.go
@@ -54,24 +54,32 @@
 	if c.ChangeID == "" {
 		c.ChangeID = uuid.NewString()
 	}
+	if err := m.settle(ctx); err != nil {
+		return &Result{Outcome: NotSaved, Reason: err.Error()}, nil
+	}
+	known := m.noticeEra()
 	old, err := m.readStored(ctx)
 	if err != nil {
 		return &Result{Outcome: NotSaved, Reason: err.Error()}, nil
 	}
+	if known.seen == 0 {
+		known = m.noticeEra()
+	}
 	if old.record.contains(c.ChangeID) {
 		return &Result{Outcome: Applied, Revision: old.record.revisionOf(c.ChangeID, old.revision)}, nil
 	}
 	if c.Base >= 0 && c.Base != old.revision {
 		return conflictResult(old, c.Base), nil
 	}
-	return m.write(ctx, c, old)
+	return m.write(ctx, c, known, old)
 }
 
 // storedRecord is the configuration that the platform stores.
 type storedRecord struct {
-	revision int64
-	record   *record
-	text     string
+	revision      int64 // of the configuration
+	storeRevision int64 // of the object
+	record        *record
+	text          string
 }
 
 // readStored reads the configuration from the platform. The revision is zero if
@@ -92,14 +100,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &storedRecord{revision: o.Revision, record: r, text: text}, nil
+	return &storedRecord{revision: r.revisionIn(o.Revision), storeRevision: o.Revision, record: r, text: text}, nil
 }
 
 func conflictResult(old *storedRecord, base int64) *Result {
 	return &Result{Outcome: Conflict, Revision: old.revision, Later: old.record.since(base)}
 }
 
-func (m *Manager) write(ctx context.Context, c Change, old *storedRecord) (*Result, error) {
+func (m *Manager) write(ctx context.Context, c Change, known eras, old *storedRecord) (*Result, error) {
 	changes := summarise(old.text, c.Text)
 	if len(changes) == 0 && old.revision > 0 {
 		return &Result{Outcome: Unchanged, Revision: old.revision}, nil
@@ -112,6 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.Era = old.record.Era
 	value, err := r.encode()
 	if err != nil {
 		return nil, err
@@ -119,11 +128,14 @@
 	if len(value) > platform.MaxValueBytes {
 		return &Result{Outcome: NotSaved, Reason: "the compressed configuration is larger than the platform keeps"}, nil
 	}
-	res := m.save(ctx, c, old.revision, value)
+	res := m.checkWritten(ctx, c, known, m.save(ctx, c, old, value))
 	res.Changes = changes
 	if res.Outcome != Applied {
 		return res, nil
 	}
+	if res.Revision <= m.Revision() {
+		return res, nil
+	}
 	if res.stored == nil {
 		res.stored = &storedRecord{revision: res.Revision, record: r}
 	}
@@ -133,13 +145,13 @@
 // save writes the value. After a write that is not confirmed, it reads the
 // configuration back and retries until the outcome is known. If the time for
 // retries ends first, the outcome is Unclear.
-func (m *Manager) save(ctx context.Context, c Change, base int64, value []byte) *Result {
+func (m *Manager) save(ctx context.Context, c Change, old *storedRecord, value []byte) *Result {
 	attempt := func() (*Result, error) {
-		revision, err := m.Platform.Update(ctx, objectKind, objectName, value, base)
+		revision, err := m.Platform.Update(ctx, objectKind, objectName, value, old.storeRevision)
 		if err == nil {
-			return &Result{Outcome: Applied, Revision: revision}, nil
+			return &Result{Outcome: Applied, Revision: old.record.revisionIn(revision)}, nil
 		}
-		return m.resolveUnconfirmed(ctx, c, base, err)
+		return m.resolveUnconfirmed(ctx, c, old.revision, err)
 	}
 	res, err := backoff.Retry(ctx, attempt, backoff.WithMaxElapsedTime(saveTimeout))
 	if err != nil {
--- a/revision/manager.go
+++ b/revision/manager.go
@@ -18,6 +18,7 @@
 	"knapweedwell/follow"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
+	"knapweedwell/member"
 	"knapweedwell/peer"
 	"knapweedwell/platform"
 	"knapweedwell/shard"
@@ -55,11 +56,15 @@
 	// Silence returns the time since a message of any other instance was last
 	// received, and false if no other instance is known that may be running.
 	Silence func() (time.Duration, bool)
+	// Others returns the other instances that may run; nil means that there are none.
+	Others func() []member.Member
 
 	current     atomic.Pointer[Snapshot]
 	mu          sync.Mutex // serialises the activation of snapshots; guards subscribers and lastContact
 	subscribers []func(*Snapshot)
-	lastContact time.Time // last answer of the platform outside the follower; at first the time of Run
+	lastContact time.Time     // last answer of the platform outside the follower; at first the time of Run
+	eras        eras          // guarded by mu
+	settling    chan struct{} // holds a value while an instance settles an era
 	fetcher     follow.PeerFetcher
 	follower    *follow.Follower
 	group       background.Group
@@ -68,6 +73,7 @@
 // Prepare registers the handlers. It is called before the peer node runs.
 func (m *Manager) Prepare() {
 	m.fetcher = follow.PeerFetcher{Delay: fetchDelay, Timeout: fetchTimeout}
+	m.settling = make(chan struct{}, 1)
 	m.Peers.Handle(fetchMethod, m.serveFetch)
 }
 
@@ -99,6 +105,7 @@
 		Log: m.Log,
 	}
 	m.group.Every(contactPeriod, m.checkContact)
+	m.group.Every(eraPeriod, m.checkEra)
 	return m.follower.Run(kn)
 }
 
@@ -176,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	return m.install(o.Revision, r)
+	return m.install(r.revisionIn(o.Revision), r)
 }
 
 // install puts a revision in force unless the one in force is at least as high.
@@ -184,6 +191,10 @@
 	if revision <= m.Revision() {
 		return nil
 	}
+	if current := m.Current(); current != nil && !m.mayFollow(r, current.record) {
+		m.Log.WithFields(logrus.Fields{"Revision": revision, "InForce": current.Revision}).Warn("configuration is not installed: it lacks a change that the store has lost")
+		return nil
+	}
 	text, err := r.decompress()
 	if err != nil {
 		return err
@@ -234,6 +245,8 @@
 type fetchReply struct {
 	Revision int64
 	Record   *record
+	Restored int64 // as in eras; zero from earlier builds
+	Settled  int64 // as in eras; zero from earlier builds
 }
 
 func (m *Manager) fetch(ctx context.Context, address string) {
@@ -251,9 +264,11 @@
 }
 
 func (m *Manager) serveFetch(context.Context, string, json.RawMessage) (any, error) {
-	s := m.Current()
-	if s == nil {
-		return fetchReply{}, nil
+	m.mu.Lock()
+	reply := fetchReply{Restored: m.eras.restored, Settled: m.eras.settled}
+	m.mu.Unlock()
+	if s := m.Current(); s != nil {
+		reply.Revision, reply.Record = s.Revision, s.record
 	}
-	return fetchReply{Revision: s.Revision, Record: s.record}, nil
+	return reply, nil
 }
--- a/revision/record.go
+++ b/revision/record.go
@@ -30,6 +30,18 @@
 type record struct {
 	Gzip    []byte
 	History []Entry // newest change first
+	// Era is that of the store in which its contents were last restored by an instance, zero
+	// if that was not necessary.
+	Era int64 `json:",omitempty"`
+}
+
+// eraBits is the number of bits below the era in a revision of the configuration.
+const eraBits = 40
+
+// revisionIn returns the revision of the configuration whose object has a revision in the
+// store. It is higher than all of earlier eras, whose revisions the store gives out again.
+func (r *record) revisionIn(storeRevision int64) int64 {
+	return r.Era<<eraBits + storeRevision
 }
 
 func newRecord(text string, history []Entry) (*record, error) {
@@ -69,6 +81,20 @@
 	return r, nil
 }
 
+// newest returns the ID of the newest change, empty if there is none.
+func (r *record) newest() string {
+	if len(r.History) == 0 {
+		return ""
+	}
+	return r.History[0].ChangeID
+}
+
+// descends reports whether a configuration holds all changes of another one, as far as its
+// history reaches.
+func (r *record) descends(from *record) bool {
+	return from.newest() == "" || r.contains(from.newest())
+}
+
 // contains reports whether the change is in the history.
 func (r *record) contains(changeID string) bool {
 	for _, e := range r.History {
--- a/simulation/faults_test.go
+++ b/simulation/faults_test.go
@@ -21,10 +21,16 @@
 
 // simulate runs a case with seed 1 on a virtual clock.
 func simulate(t *testing.T, o options, f func(sim *simulation)) {
+	t.Helper()
+	simulateSeed(t, 1, o, f)
+}
+
+// simulateSeed runs a case on a virtual clock with random numbers from a seed.
+func simulateSeed(t *testing.T, seed uint64, o options, f func(sim *simulation)) {
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t, 1, o)
+		sim := newSimulation(t, seed, o)
 		defer sim.close()
 		f(sim)
 	})
