--- a/soak/injector.go
+++ b/soak/injector.go
@@ -29,6 +29,7 @@
 	entryRestoreDelay  = 1500 * time.Millisecond // from the end of a fault of the store until removed entries are written again
 	leaveWatchTime     = 2 * time.Second         // during which new requests to a leaving upstream are violations
 	maxFaultyUpstreams = 3                       // affected by one fault
+	maxRestoredAge     = 10 * time.Second        // of the copy from which the store comes back
 )
 
 // fault is one kind of fault, with the function that injects it once.
@@ -52,6 +53,7 @@
 	{"caller link", 1, func(inj *injector) { inj.nodeProxy(inj.randomNode(), func(n *node) *Proxy { return n.callers }) }},
 	{"datagrams dropped", 1, (*injector).dropDatagrams},
 	{"store fault", 4, (*injector).storeFault},
+	{"store restored", 2, (*injector).restoreStore},
 	{"history compacted", 1, func(inj *injector) { inj.testbed.store.Compact() }},
 	{"upstream fault", 5, (*injector).upstreamFault},
 	{"upstream link", 1, (*injector).upstreamProxy},
@@ -268,6 +270,22 @@
 	inj.sleepFaultDuration()
 }
 
+// restoreStore lets the store come back from a copy, after an outage or at once. The owners of
+// objects write again what they wrote.
+func (inj *injector) restoreStore() {
+	tb := inj.testbed
+	age := inj.randomDuration(time.Second, maxRestoredAge)
+	inj.tracef("store comes back from a copy of %s ago", age)
+	inj.beginStoreFault()
+	if inj.rng.IntN(2) == 0 {
+		tb.store.SetFaults(platform.Faults{Outage: true})
+		inj.sleepFaultDuration()
+	}
+	tb.store.Restore(age, inj.randomDuration(time.Millisecond, entryRestoreDelay))
+	sleep(inj.ctx, entryRestoreDelay)
+	inj.endStoreFault()
+}
+
 // storeFault injects a random fault into the store. During some outages it also
 // removes entries of upstreams, which it writes again afterwards.
 func (inj *injector) storeFault() {
@@ -288,16 +306,32 @@
 		f.DeafWatches = true
 	}
 	inj.tracef("store: %+v", f)
-	tb.mu.Lock()
-	tb.activeStoreFaults++
-	tb.storeHealthyFrom = time.Time{}
-	tb.mu.Unlock()
+	inj.beginStoreFault()
 	tb.store.SetFaults(f)
 	inj.sleepFaultDuration()
 	var removed []*upstream
 	if (f.Outage || f.Silent) && inj.rng.IntN(2) == 0 {
 		removed = tb.removeEntries()
 	}
+	inj.endStoreFault()
+	if removed != nil {
+		sleep(inj.ctx, entryRestoreDelay)
+		tb.restoreEntries(removed)
+	}
+}
+
+// beginStoreFault records that the store has a fault.
+func (inj *injector) beginStoreFault() {
+	tb := inj.testbed
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.activeStoreFaults++
+	tb.storeHealthyFrom = time.Time{}
+}
+
+// endStoreFault ends a fault of the store, and all of them with the last one.
+func (inj *injector) endStoreFault() {
+	tb := inj.testbed
 	tb.mu.Lock()
 	tb.activeStoreFaults--
 	faultFree := tb.activeStoreFaults == 0
@@ -308,10 +342,6 @@
 	if faultFree {
 		tb.store.SetFaults(platform.Faults{})
 	}
-	if removed != nil {
-		sleep(inj.ctx, entryRestoreDelay)
-		tb.restoreEntries(removed)
-	}
 }
 
 // upstreamFault injects the same random fault into one or more upstreams.
