Refuse the lowest rank by the waits that it really has

What callers saw: in a burst of four times the traffic beside a rolling stop of all instances, requests of the lowest rank were accepted, waited 6.6 s where 1.9 s were predicted, and left: of 505 in 7 s 52 were served, 243 refused, 147 left and 63 failed.

Cause: the prediction counts the work ahead when a request is sent. In a burst more urgent ones arrive after it and overtake it, for seconds.

Ruled out: the change of the configuration and the stops (the window is calm at the upstreams, and the failed requests are spread over all instances).

Change: each instance keeps how much longer than predicted its requests of the lowest rank waited, by pool, and raises the wait by which it refuses them.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -66,6 +66,7 @@
 	mu      sync.Mutex
 	active  map[*requestState]bool // requests in progress
 	lastEnd time.Time              // when a request last ended
+	waits   waitFactors
 	probes  background.Group
 }
 
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -35,9 +35,25 @@
 	if rs.headers.TimeLeft == 0 || rs.headers.TimeLeft.Seconds() > fullTimeShare*rs.route.Timeout.Seconds() {
 		maxShare = maxWaitShare
 	}
-	if c.Wait.Seconds() <= maxShare*rs.route.Aim.Seconds() {
+	wait := time.Duration(float64(c.Wait) * rs.s.waits.factor(time.Now(), rs.pool.Name))
+	if wait.Seconds() <= maxShare*rs.route.Aim.Seconds() {
 		return nil
 	}
 	timeLeft := time.Until(rs.deadline)
-	return request.Unavailable("the upstreams have work for %s ahead of the request", c.Wait.Round(time.Millisecond)).WithRetryAfter(time.Duration(retryAfterShare * float64(timeLeft)))
+	return request.Unavailable("the upstreams have work for %s ahead of the request", wait.Round(time.Millisecond)).WithRetryAfter(time.Duration(retryAfterShare * float64(timeLeft)))
+}
+
+// observeWait records once how long a request of the lowest rank has waited for its first
+// event: until now, or for longer if the send has ended without one.
+func (t *transfer) observeWait(now time.Time, ended bool) {
+	c := t.rs.choice
+	if t.started || !c.HasLowestRank || t.rs.pool.Engine == nil {
+		return
+	}
+	t.started = true
+	waited := now.Sub(t.sentAt)
+	if ended && waited < c.Predicted {
+		return
+	}
+	t.rs.s.waits.observe(now, t.rs.pool.Name, c.Predicted, waited)
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -42,7 +42,7 @@
 	rs.s.Check.Check(invariant.AtMostOnce, rs.route.Repeatable() || rs.runs == 0,
 		"request %s may run once only and is sent after %d runs", rs.headers.ID, rs.runs)
 	stop := context.AfterFunc(ctx, conn.Interrupt)
-	t := &transfer{rs: rs, ctx: ctx, conn: conn, attempt: attempt, watched: watched}
+	t := &transfer{rs: rs, ctx: ctx, conn: conn, attempt: attempt, watched: watched, sentAt: time.Now()}
 	unwatch := t.watchSilence()
 	res := t.withdraw(t.roundTrip(rs.outgoing(u)))
 	unwatch()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,6 +45,7 @@
 		complete := endOfEvents(pending)
 		if complete > 0 {
 			now := time.Now()
+			t.observeWait(now, false)
 			t.attempt.First(now)
 			t.attempt.Event(now)
 			t.watched.Event(now)
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -83,6 +83,8 @@
 	watched *quarantine.Attempt
 	resp    *http.Response
 	keep    bool // whether the connection may be reused
+	sentAt  time.Time
+	started bool // whether an event was received
 
 	silent atomic.Bool // whether the connection was interrupted because the upstream was silent
 }
@@ -293,6 +295,9 @@
 func (t *transfer) finish(res result) {
 	// The quarantine may interrupt the connection until then.
 	t.endWatch(res)
+	if _, ok := res.(broken); ok {
+		t.observeWait(time.Now(), true)
+	}
 	if t.keep && t.resp != nil && httpwire.Delimited(t.resp) {
 		t.rs.s.Connections.Put(t.conn, t.resp)
 	} else {
