Count waits in vain in the slowness of an upstream

Cause: only the requests that got a first token told how slow an upstream is.

Change: a request that ends before its first token after a longer wait than predicted counts as an observation of at least that wait.

TestWaitInVain fails without it.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -126,6 +126,15 @@
 	a.state.observeSlowness(now, (elapsedSeconds+firstTokenMarginSeconds)/predictedSeconds*a.state.slowness(now))
 }
 
+// observeWait records that a request has waited in vain for its first token: the upstream is
+// at least so slow. A rejected request has not waited.
+func (a *Attempt) observeWait(now time.Time, o Outcome) {
+	waited := now.Sub(a.sentAt)
+	if (o == Abandoned || o == Failed) && waited > a.choice.Predicted {
+		a.state.observeSlowness(now, waited.Seconds()/(a.choice.Predicted.Seconds()+firstTokenMarginSeconds)*a.state.slowness(now))
+	}
+}
+
 // Outcome is the way in which an attempt ended.
 type Outcome int
 
@@ -148,6 +157,7 @@
 	s.tokens -= a.tokens
 	if !a.answering && a.pool.Engine != nil {
 		s.pending[a.rank] -= a.choice.Missing
+		a.observeWait(now, o)
 	}
 	stats := a.picker.poolStats(a.pool.Name)
 	if a.pool.Engine != nil {
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -257,3 +257,29 @@
 	third, _ := p.Choose(now, us, large)
 	assert.Equal(t, third.Wait, second.Wait)
 }
+
+// TestWaitInVain guards against an upstream that gives no first tokens and is still chosen,
+// because only the requests that get one tell how slow it is.
+func TestWaitInVain(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		avoided bool
+	}{{Abandoned, true}, {Failed, true}, {Rejected, false}} {
+		p, us, now := newPicker(), upstreams(2), time.Unix(1000, 0)
+		stuck := us[0].ID
+		for n := range 40 {
+			r := newRequest(uint64(n), uint64(100+n), 1)
+			choice, ok := p.Choose(now, us, r)
+			assert.Assert(t, ok)
+			a := p.Begin(now, r, choice)
+			if choice.Upstream.ID == stuck {
+				a.End(now.Add(3*time.Second), c.outcome)
+			} else {
+				a.First(now.Add(choice.Predicted))
+				a.End(now.Add(choice.Predicted), Served)
+			}
+		}
+		slow := p.state(now, us[0]).slowness(now.Add(3 * time.Second))
+		assert.Equal(t, slow > 1.5, c.avoided, "%v: slowness %v", c.outcome, slow)
+	}
+}
