--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -107,3 +107,25 @@
 		return poll.Continue("version %d was not delivered", version)
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 }
+
+// TestHistoryGone guards against a follower that goes on watching from a revision whose
+// changes the store no longer has.
+func TestHistoryGone(t *testing.T) {
+	s := store.New()
+	s.Put("config", "main", map[string]int{"version": 0})
+	var alert atomic.Bool
+	alert.Store(true)
+	f, r := startFollower(t, s, &alert)
+	waitFor(t, r, 0)
+	s.SetFaults(store.Faults{Outage: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.StoreUnreachable() {
+			return poll.Success()
+		}
+		return poll.Continue("the outage was not noticed")
+	}, poll.WithTimeout(5*time.Second))
+	s.Put("config", "main", map[string]int{"version": 1})
+	s.Compact()
+	s.SetFaults(store.Faults{})
+	waitFor(t, r, 1)
+}
--- a/revision/manager.go
+++ b/revision/manager.go
@@ -179,6 +179,7 @@
 }
 
 func (m *Manager) installObject(o *platform.Object) error {
+	m.noticeEra()
 	r, err := decodeRecord(o.Value)
 	if err != nil {
 		return err
--- a/roster/era_test.go
+++ b/roster/era_test.go
@@ -90,3 +90,30 @@
 		})
 	}
 }
+
+// TestFetchAcrossEras guards against a peer that asks for the changes since a mark of another
+// era, or as an earlier build without one, and is sent only some entries.
+func TestFetchAcrossEras(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &Service{list: newEntryList()}
+	s.list.startEra(now, 1)
+	s.list.replaceAll(now, 100, []*route.Upstream{entry("a", false), entry("b", false)})
+	s.list.startEra(now, 2)
+	s.list.replaceAll(now, 95, []*route.Upstream{entry("a", false)})
+	s.list.commit(120, s.list.put(entry("c", false)))
+	for _, c := range []struct {
+		request string
+		whole   bool
+	}{
+		{`{"Era":2,"After":24320}`, false},
+		{`{"Era":1,"After":25600}`, true},
+		{`{"After":25600}`, true},
+		{`{"Era":3,"After":25600}`, true},
+	} {
+		reply, err := s.serveFetch(t.Context(), "", []byte(c.request))
+		assert.NilError(t, err)
+		f := reply.(fetchReply)
+		assert.Equal(t, f.Whole, c.whole, c.request)
+		assert.Equal(t, f.Era, int64(2))
+	}
+}
