--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -28,17 +28,17 @@
 	down    map[string]time.Time // when the upstreams that are down crashed, by ID
 }
 
-// startModels starts upstreams of the service model which crash on the deadly part, in
-// place of those of the simulation.
-func startModels(sim *routeSimulation, n int, f runner.Faults) *crashingFleet {
-	fleet := &crashingFleet{sim: sim, service: "model", faults: f, down: map[string]time.Time{}}
+// startCrashing starts n upstreams of a service which crash as the faults say, in place of
+// those of the simulation.
+func startCrashing(sim *routeSimulation, service string, n int, f runner.Faults) *crashingFleet {
+	fleet := &crashingFleet{sim: sim, service: service, faults: f, down: map[string]time.Time{}}
 	for id := range sim.runners {
-		if strings.HasPrefix(id, "model") {
+		if strings.HasPrefix(id, service) {
 			sim.store.Delete("servers", id)
 		}
 	}
 	for i := range n {
-		id := fmt.Sprintf("engine-%d", i)
+		id := fmt.Sprintf("crashing-%d", i)
 		sim.hosts[id] = fmt.Sprintf("10.6.0.%d", i+1)
 		fleet.start(id)
 	}
@@ -124,54 +124,72 @@
 // stream sends a request for a stream with a prompt of two shared parts.
 func (tr *traffic) stream(instance int, id, first, second string) {
 	prompt := fmt.Sprintf("%s:1000,%s:500,%x:100", first, second, time.Now().UnixNano())
+	tr.send(request{instance: instance, path: "/talk/1?events=5", id: id, header: map[string]string{
+		"X-Knapweedwell-Prompt-Prefix": prompt, "X-Knapweedwell-Token-Usage": "1600,20",
+	}})
+}
+
+// send sends a request in the background.
+func (tr *traffic) send(r request) {
 	tr.wg.Go(func() {
 		sentAt := time.Now()
-		resp := tr.sim.send(request{instance: instance, path: "/talk/1?events=5", id: id, header: map[string]string{
-			"X-Knapweedwell-Prompt-Prefix": prompt, "X-Knapweedwell-Token-Usage": "1600,20",
-		}})
+		resp := tr.sim.send(r)
 		tr.mu.Lock()
 		defer tr.mu.Unlock()
-		tr.answers = append(tr.answers, timedAnswer{id: id, sentAt: sentAt, response: resp})
+		tr.answers = append(tr.answers, timedAnswer{id: r.id, sentAt: sentAt, response: resp})
 	})
 }
 
 // TestDeadlyPartCrashesNoFurtherUpstreams guards against requests with one part in their
 // prompts that crash one upstream after the other for as long as they come.
 func TestDeadlyPartCrashesNoFurtherUpstreams(t *testing.T) {
-	const (
-		learnTime = 4 * time.Second // from the fifth crash
-		maxLate   = 3
-		ticks     = 1000
-		tick      = 25 * time.Millisecond
-		warmUp    = 80 // ticks without the deadly part
-		deadlyIn  = 16 // then one request in so many holds it
-	)
 	simulateRoutes(t, 3, func(sim *routeSimulation) {
-		fleet := startModels(sim, 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: deadlyPart})
-		tr := &traffic{sim: sim}
-		for n := range ticks {
-			if n >= warmUp && n%deadlyIn == 0 {
+		fleet := startCrashing(sim, "model", 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: deadlyPart})
+		fleet.checkDeadly(5, func(tr *traffic, n int, deadly bool) {
+			if deadly {
 				tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", deadlyPart)
 			} else {
 				tr.stream(n%3, "sound-"+itoa(n), "aa", "b"+itoa(n%7))
 			}
-			time.Sleep(tick)
-			fleet.restart()
-		}
-		tr.wg.Wait()
-		if len(fleet.crashes) == 0 {
-			t.Fatal("no upstream crashed")
-		}
-		known := fleet.crashes[min(len(fleet.crashes), 5)-1]
-		late := fleet.receivedAfter("deadly-", known.Add(learnTime))
-		t.Logf("%d crashes; %d requests with the part later", len(fleet.crashes), late)
-		if late > maxLate {
-			t.Errorf("%d requests with the part reached upstreams later than %s after the fifth crash, expected at most %d", late, learnTime, maxLate)
-		}
-		tr.check(t, known.Add(2*learnTime))
+		})
 	})
 }
 
+// Times of the traffic in which one request in deadlyIn is deadly, after warmUp ticks without.
+const (
+	deadlyTicks = 1000
+	deadlyTick  = 25 * time.Millisecond
+	deadlyIn    = 16
+	warmUpTicks = 80
+)
+
+// checkDeadly sends a request a tick and fails the test if more than three deadly ones reach
+// upstreams later than 4 s after the crash with the number known, or if sound ones fail later.
+func (c *crashingFleet) checkDeadly(known int, send func(tr *traffic, n int, deadly bool)) {
+	const (
+		learnTime = 4 * time.Second
+		maxLate   = 3
+	)
+	t := c.sim.t
+	tr := &traffic{sim: c.sim}
+	for n := range deadlyTicks {
+		send(tr, n, n >= warmUpTicks && n%deadlyIn == 0)
+		time.Sleep(deadlyTick)
+		c.restart()
+	}
+	tr.wg.Wait()
+	if len(c.crashes) == 0 {
+		t.Fatal("no upstream crashed")
+	}
+	knownAt := c.crashes[min(len(c.crashes), known)-1]
+	late := c.receivedAfter("deadly-", knownAt.Add(learnTime))
+	t.Logf("%d crashes; %d deadly requests later", len(c.crashes), late)
+	if late > maxLate {
+		t.Errorf("%d deadly requests reached upstreams later than %s after crash %d, expected at most %d", late, learnTime, known, maxLate)
+	}
+	tr.check(t, knownAt.Add(2*learnTime))
+}
+
 // check fails the test unless all sound requests that were sent after time t are answered
 // and all others are refused as not run.
 func (tr *traffic) check(t *testing.T, after time.Time) {
