--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -140,8 +140,14 @@
 func simulateRoutes(t *testing.T, n int, f func(sim *routeSimulation)) {
 	t.Helper()
 	t.Parallel()
+	simulateZones(t, n, []string{"z0"}, f)
+}
+
+// simulateZones runs a case with n instances, in the zones by turns, on a virtual clock.
+func simulateZones(t *testing.T, n int, zones []string, f func(sim *routeSimulation)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		sim := newRouteSimulation(t, n)
+		sim := newRouteSimulation(t, n, zones)
 		defer sim.close()
 		f(sim)
 	})
@@ -149,11 +155,11 @@
 
 // newRouteSimulation starts the store, three upstreams of each service and n
 // instances, and waits 4 s of virtual time for them to be ready.
-func newRouteSimulation(t *testing.T, n int) *routeSimulation {
+func newRouteSimulation(t *testing.T, n int, zones []string) *routeSimulation {
 	sim := &routeSimulation{
 		t: t, network: newNetwork(), store: platform.New(), routesVersion: 1, apiKeys: []string{edgeKey},
 		runners: map[string]*runner.Runner{}, hosts: map[string]string{}, services: []string{"calls"},
-		zones: []string{"z0"},
+		zones: zones,
 	}
 	sim.packets = &packetNetwork{links: sim.network, conns: map[string]*packetConn{}}
 	sim.checker = &invariant.Checker{Report: func(name, detail string) { t.Errorf("invariant %s violated: %s", name, detail) }}
