Look at the verdicts only for requests whose traits were in two crashes

A popular request that was once in a crash stays known for ten minutes; each send of it went over all suspects. The result is the same: a trait without a verdict is limited from its second crash on at the earliest.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -128,7 +128,7 @@
 func (a *Attempt) count(now time.Time) {
 	q := a.quarantine
 	for _, trait := range a.traits {
-		if s := q.suspects[trait.ID]; s != nil && s.limited(now, q.explained(now, s)) {
+		if s := q.suspects[trait.ID]; s != nil && q.isLimited(now, s) {
 			s.running++
 			a.counted = append(a.counted, s)
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -85,7 +85,7 @@
 		case s.convicted(now):
 			q.refusals++
 			return &Refusal{Trait: trait, Crashes: s.verdict.Crashes, RetryAfter: s.verdict.Until.Sub(now), Quarantined: true}
-		case s.running > 0 && s.limited(now, q.explained(now, s)):
+		case s.running > 0 && q.isLimited(now, s):
 			q.refusals++
 			return &Refusal{Trait: trait, Crashes: len(s.crashes), RetryAfter: suspectRetryAfter}
 		}
@@ -282,6 +282,15 @@
 	return rest.crashes
 }
 
+// isLimited reports whether only one request with the trait of the suspect s may run at a
+// time. The caller holds q.mu.
+func (q *Quarantine) isLimited(now time.Time, s *suspect) bool {
+	if !s.tried() && len(s.crashes) < suspectOccasions {
+		return false // as for most requests, without a look at the verdicts
+	}
+	return s.limited(now, q.explained(now, s))
+}
+
 // explained returns the crashes of the suspect s that a verdict explains. The caller holds
 // q.mu.
 func (q *Quarantine) explained(now time.Time, s *suspect) map[uint64]bool {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -106,7 +106,7 @@
 	if source == ownSource {
 		q.changed = true
 	}
-	if !s.suspected && !s.tried() && s.limited(now, q.explained(now, s)) {
+	if !s.suspected && !s.tried() && q.isLimited(now, s) {
 		s.suspected = true
 		q.log(now, s, source).Warn(s.noun() + " is suspected")
 	}
