Count the own claims before an era of the store counts as settled

Found by reading: an instance that had asked all others told them that all claims are in the store, though its own ones were not yet; the others then asked nobody, and a key that it holds could be acquired once more.

TestSettledByAll fails before: the key is acquired a second time.

--- a/claimstore/era.go
+++ b/claimstore/era.go
@@ -91,7 +91,7 @@
 // eras.
 func (s *Service) askOthers(ctx context.Context, c claim.Claim, known eras) claim.Decision {
 	others, unknown := s.holders(time.Now())
-	written := unknown == "" // whether all of them have written their claims
+	written := unknown == "" && known.written >= known.seen // whether all have written their claims
 	for _, m := range others {
 		var answer recalled
 		err := s.call(ctx, m.Peer, recallMethod, recall{Era: known.seen, Claim: c}, &answer)
--- a/claimstore/era_test.go
+++ b/claimstore/era_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// TestSettledByAll guards against an instance that tells the others that all claims are in the
+// store before it has written its own ones.
+func TestSettledByAll(t *testing.T) {
+	fl := newEraFleet(t, 3)
+	ctx := t.Context()
+	holder, second, third := fl.services[0], fl.services[1], fl.services[2]
+	for _, s := range fl.services {
+		assert.Equal(t, s.Take(ctx, s.claimOf("first-"+s.Identity, s.Identity)), claim.Acquired{})
+	}
+	assert.Equal(t, holder.Take(ctx, holder.claimOf("key", "1")), claim.Acquired{})
+	fl.restore()
+	for _, s := range []*Service{second, third} {
+		assert.Equal(t, s.Take(ctx, s.claimOf("again-"+s.Identity, s.Identity)), claim.Acquired{})
+		s.checkEra(ctx, time.Now())
+	}
+	assert.Equal(t, holder.Take(ctx, holder.claimOf("another key", "2")), claim.Acquired{})
+	assert.DeepEqual(t, third.Take(ctx, third.claimOf("key", "3")), claim.Busy{Holder: holder.Identity})
+}
+
 // TestClaimsWrittenAgain guards against claims, and outcomes, that the store lost for good.
 func TestClaimsWrittenAgain(t *testing.T) {
 	fl := newEraFleet(t, 2)
