--- a/claimstore/era_test.go
+++ b/claimstore/era_test.go
@@ -146,6 +146,7 @@
 		s.checkEra(ctx, time.Now())
 	}
 	assert.Equal(t, holder.Take(ctx, holder.claimOf("another key", "2")), claim.Acquired{})
+	assert.Equal(t, third.Take(ctx, third.claimOf("third key", "4")), claim.Acquired{})
 	assert.DeepEqual(t, third.Take(ctx, third.claimOf("key", "3")), claim.Busy{Holder: holder.Identity})
 }
 
