Do not hold the silence of a connection against the instance in the soak

Trace: at 12.45 s the fault 'caller link' makes 80% of the open connections of callers to entry-5 silent, for the rest of their lifetime. Twelve seconds later the other instances stop in turn, and the callers send over their idle connections to entry-5 again. None of the nine requests is in the log of entry-5: they never left the proxy. The check excused the instance for 4 s after the fault only. So the case is allowed, and the check was wrong.

The check now leaves out a request that was sent over a connection which the fault has chosen, and no other one; the proxy knows them by the callers' addresses (tested in TestProxy). The trace names each fault.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -77,6 +79,7 @@
 	duration     time.Duration
 	stopSignalAt time.Time // when the node was sent a stop signal, as known at the end of the answer
 	starts       int       // starts of the node, as known at the end of the answer
+	silenced     bool      // the request was sent over a connection that a fault has made silent for good
 }
 
 // client is one caller. It reuses connections and caches the answers of the
@@ -207,7 +210,9 @@
 	deadline := r.kind.timeout + time.Second
 	req.Header.Set("X-Knapweedwell-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	var a answer
-	resp, err := c.http.Do(req)
+	var local atomic.Value // address of the connection, as a string
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { local.Store(i.Conn.LocalAddr().String()) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		a.err = err
 	} else {
@@ -217,6 +222,9 @@
 		a.body, a.err = string(body), err
 	}
 	a.duration = time.Since(r.sentAt)
+	if address, ok := local.Load().(string); ok {
+		a.silenced = r.node.callers.Silenced(address)
+	}
 	a.stopSignalAt, a.starts = r.node.stopState()
 	return a
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -144,10 +144,10 @@
 }
 
 // checkDuration counts a request that exceeded its timeout, and whether it exceeded
-// it by more than answerSlack. Cancelled requests and requests to a node with faults
-// are not counted.
+// it by more than answerSlack. Cancelled requests, requests to a node with faults and those
+// over a connection that a fault has made silent are not counted.
 func (tb *testbed) checkDuration(r request, id string, a answer, cancelled bool) {
-	if cancelled || a.duration < r.kind.timeout || !r.node.faultFreeSince(r.sentAt.Add(-settleTime)) {
+	if cancelled || a.silenced || a.duration < r.kind.timeout || !r.node.faultFreeSince(r.sentAt.Add(-settleTime)) {
 		return
 	}
 	tb.countCheck(inTime)
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -86,6 +86,7 @@
 		inj.testbed.mu.Lock()
 		inj.testbed.faults[f.name]++
 		inj.testbed.mu.Unlock()
+		inj.tracef("fault: %s", f.name)
 		f.inject(inj)
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -33,6 +33,7 @@
 	mu          sync.Mutex
 	faults      ProxyFaults
 	connections map[*connection]bool
+	silenced    map[string]bool // callers' addresses of the connections that Silence has chosen
 	wg          sync.WaitGroup
 }
 
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &Proxy{target: target, listener: l, connections: map[*connection]bool{}}
+	p := &Proxy{target: target, listener: l, connections: map[*connection]bool{}, silenced: map[string]bool{}}
 	p.wg.Add(1)
 	go p.accept()
 	return p, nil
@@ -89,9 +90,19 @@
 func (p *Proxy) Silence(rng *rand.Rand, share float64) {
 	for _, conn := range p.sample(rng, share) {
 		conn.silent.Store(true)
+		p.mu.Lock()
+		p.silenced[conn.caller.RemoteAddr().String()] = true
+		p.mu.Unlock()
 	}
 }
 
+// Silenced reports whether Silence has chosen the connection of the caller with an address.
+func (p *Proxy) Silenced(caller string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silenced[caller]
+}
+
 // sample returns a random share of the open connections.
 func (p *Proxy) sample(rng *rand.Rand, share float64) []*connection {
 	p.mu.Lock()
@@ -143,6 +154,7 @@
 	conn := &connection{proxy: p, caller: caller, target: target.(*net.TCPConn)}
 	p.mu.Lock()
 	p.connections[conn] = true
+	delete(p.silenced, conn.caller.RemoteAddr().String())
 	p.mu.Unlock()
 	var copies sync.WaitGroup
 	copies.Add(2)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -88,9 +88,11 @@
 	p.Silence(rng, 1)
 	_, err = exchangeLine(t, c, silenceTimeout)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	assert.Assert(t, p.Silenced(c.LocalAddr().String()))
 	c = connect(t, p.Address())
 	_, err = exchangeLine(t, c, time.Second)
 	assert.NilError(t, err, "a new connection works")
+	assert.Assert(t, !p.Silenced(c.LocalAddr().String()))
 
 	p.Reset(rng, 1)
 	_, err = exchangeLine(t, c, time.Second)
