--- a/review/driver/cutwatch.go
+++ b/review/driver/cutwatch.go
@@ -33,7 +33,7 @@
 	c := w.newClients()
 	stop := make(chan struct{})
 	calls := make(chan []*call)
-	go func() { calls <- c.sendSteadily(stop) }()
+	go func() { calls <- c.sendSteadily(stop, callPeriod) }()
 	time.Sleep(contactTime + 1400*time.Millisecond)
 	cut := func() {
 		if w.trouble {
@@ -56,10 +56,11 @@
 	return lateAt(leaving, all, removed.Add(drainTimeout)), nil
 }
 
-// sendSteadily sends calls of two kinds until stop is closed and returns them.
-func (c *clients) sendSteadily(stop <-chan struct{}) []*call {
+// sendSteadily sends calls of two kinds, one in each period, until stop is closed, and
+// returns them.
+func (c *clients) sendSteadily(stop <-chan struct{}, period time.Duration) []*call {
 	var all []*call
-	ticker := time.NewTicker(callPeriod)
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
