Review: a part that crashes runners silently is never quarantined

Cause: only a connection that the upstream closed or reset counts as a crash; one that goes silent is sent elsewhere and leaves no evidence.

--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -44,7 +44,7 @@
 	path     string
 	body     []byte
 	deadline time.Duration
-	patience time.Duration // after which the client leaves, zero for the deadline
+	prompt   string // parts of the prompt, empty if it has none
 
 	id       string
 	to       string
@@ -124,15 +124,11 @@
 		return
 	}
 	a.sentAt = time.Now()
-	wait := a.deadline
-	if a.patience > 0 {
-		wait = min(wait, a.patience)
-	}
-	_ = conn.SetDeadline(a.sentAt.Add(wait))
+	_ = conn.SetDeadline(a.sentAt.Add(a.deadline))
 	c.w.note("client sends %s %s %s to %s, kept connection %t", a.id, a.method, a.path, a.to, a.kept)
 	keep := a.exchange(conn)
 	a.endedAt = time.Now()
-	a.left = a.err != nil && a.endedAt.Sub(a.sentAt) >= wait
+	a.left = a.err != nil && a.endedAt.Sub(a.sentAt) >= a.deadline
 	c.w.note("client has of %s: status %d, complete %t, %d bytes, left %t, %v", a.id, a.status, a.complete, len(a.answer), a.left, a.err)
 	if !keep {
 		_ = conn.Close()
@@ -166,6 +162,9 @@
 func (a *call) exchange(conn *clientConn) bool {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\n", a.method, a.path, clientHost, idHeader, a.id, deadlineHeader, a.deadline.Milliseconds(), clientKey)
+	if a.prompt != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n%s: 1460,80\r\n%s: m\r\n", promptHeader, a.prompt, usageHeader, modelHeader)
+	}
 	if a.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(a.body))
 	}
--- a/review/driver/runner.go
+++ b/review/driver/runner.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +19,9 @@
 	signatureHeader = "X-Knapweedwell-Response-Signature"
 	notRunHeader    = "X-Knapweedwell-Not-Executed"
 	lastEventHeader = "Last-Event-Id"
+	promptHeader    = "X-Knapweedwell-Prompt-Prefix"
+	usageHeader     = "X-Knapweedwell-Token-Usage"
+	modelHeader     = "X-Knapweedwell-Model"
 )
 
 const (
@@ -43,6 +47,10 @@
 	works map[string][]*work
 	// keepsRuns is set for a runner that does not drop a run when its connection closes.
 	keepsRuns bool
+	// listener goes dark when the runner crashes, and onCrash is called on a request with the
+	// deadly part; both are nil for a runner that never crashes.
+	listener *darkListener
+	onCrash  func(r *runner, id string)
 }
 
 // work is one run of a stream: when it began and when the runner made its last event.
@@ -123,6 +131,10 @@
 	}
 	id := req.Header.Get(idHeader)
 	misdirected := req.Header.Get(expectedHeader) != r.id
+	if r.silent() {
+		<-req.Context().Done()
+		return
+	}
 	r.mu.Lock()
 	full := r.full
 	r.arrivals = append(r.arrivals, arrival{id: id, at: time.Now(), ran: !full && !misdirected})
@@ -149,6 +161,34 @@
 	fmt.Fprintf(w, "answer to %s", id)
 }
 
+// setCrash lets the runner crash on requests with the deadly part.
+func (r *runner) setCrash(l *darkListener, onCrash func(*runner, string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listener, r.onCrash = l, onCrash
+}
+
+// silent reports whether the runner has crashed and is silent.
+func (r *runner) silent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listener != nil && r.listener.isDark()
+}
+
+// crashesOn crashes the runner if the request has the deadly part, when the answer is about to
+// begin.
+func (r *runner) crashesOn(req *http.Request) bool {
+	r.mu.Lock()
+	onCrash := r.onCrash
+	r.mu.Unlock()
+	if onCrash == nil || !strings.Contains(req.Header.Get(promptHeader), deadlyPart) {
+		return false
+	}
+	time.Sleep(eventPeriod)
+	onCrash(r, req.Header.Get(idHeader))
+	return true
+}
+
 // beginWork records the beginning of a run.
 func (r *runner) beginWork(id string) *work {
 	r.mu.Lock()
@@ -181,10 +221,18 @@
 	last, _ := strconv.Atoi(req.Header.Get(lastEventHeader))
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	if r.crashesOn(req) {
+		<-req.Context().Done()
+		return
+	}
 	run := r.beginWork(req.Header.Get(idHeader))
 	for k := last + 1; k <= n; k++ {
 		time.Sleep(eventPeriod)
 		r.awaitHold()
+		if r.silent() {
+			<-req.Context().Done()
+			return
+		}
 		if req.Context().Err() != nil && !r.keepsRuns {
 			r.w.note("%s drops %s after event %d, its connection was closed", r.id, req.Header.Get(idHeader), k-1)
 			return
