--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -6,9 +6,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// maxLength is the time after which a case is given up.
+const maxLength = 110 * time.Second
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0 // the rule held
@@ -40,6 +45,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	go w.giveUp()
 	broken, err := run(w)
 	if err != nil {
 		w.note("the case could not run: %v", err)
@@ -60,5 +66,20 @@
 	return exitHeld
 }
 
+// giveUp ends all processes and the case when the driver is told to stop or the case takes too
+// long.
+func (w *world) giveUp() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		w.note("the driver gets %s", s)
+	case <-time.After(maxLength):
+		w.note("the case takes longer than %s", maxLength)
+	}
+	w.close()
+	os.Exit(exitNotRun)
+}
+
 // maxPrinted is the number of breaches that are printed; all are in the record.
 const maxPrinted = 5
