Log which upstreams are used although the store does not list them

Change: a line when an entry is retained, with the time that remains, and one when it is dropped, at most 20 for one change.

--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -45,10 +45,17 @@
 	// revision is that of the store up to which the list holds all changes; zero if that is
 	// not known.
 	revision      int64
-	retainUntil   time.Time // end of the retention period
-	changes       []change  // most recent changes, the oldest first
-	completeAfter int64     // mark after which changes is complete
-	unlisted      bool      // no complete list has been applied in this era
+	retainUntil   time.Time   // end of the retention period
+	changes       []change    // most recent changes, the oldest first
+	completeAfter int64       // mark after which changes is complete
+	unlisted      bool        // no complete list has been applied in this era
+	news          []retention // changes of retained since they were last taken
+}
+
+// retention is the beginning or the end of the use of an entry that the store does not list.
+type retention struct {
+	id    string
+	until time.Time // zero at the end
 }
 
 // change is one entry that changed.
@@ -253,6 +260,7 @@
 	}
 	if now.Before(l.retainUntil) && !l.leaves(e) {
 		l.retained[id] = true
+		l.news = append(l.news, retention{id: id, until: l.retainUntil})
 		return false
 	}
 	l.deleteEntry(id)
@@ -281,6 +289,7 @@
 		return false
 	}
 	for id := range l.retained {
+		l.news = append(l.news, retention{id: id})
 		l.deleteEntry(id)
 	}
 	return l.commit(0, true)
--- a/roster/service.go
+++ b/roster/service.go
@@ -26,6 +26,8 @@
 	// maxStartDelay bounds the random delay of the first list, so that instances
 	// that start together do not call the store at the same time.
 	maxStartDelay = 20 * time.Millisecond
+
+	maxLoggedRetentions = 20 // lines of one change of the list
 )
 
 // Service maintains the roster. The exported fields are set before Run.
@@ -112,7 +114,9 @@
 // or if it is the first complete list.
 func (s *Service) update(complete bool, change func(*entryList) bool) {
 	s.mu.Lock()
-	if !change(s.list) && !(complete && s.Current() == nil) {
+	changed := change(s.list)
+	s.logRetentions()
+	if !changed && !(complete && s.Current() == nil) {
 		s.mu.Unlock()
 		return
 	}
@@ -125,6 +129,22 @@
 	}
 }
 
+// logRetentions logs which entries are used from now on although the store does not list
+// them, until when, and which ones no longer. The caller holds s.mu.
+func (s *Service) logRetentions() {
+	for _, r := range s.list.news[:min(len(s.list.news), maxLoggedRetentions)] {
+		if r.until.IsZero() {
+			s.Log.WithField("Upstream", r.id).Info("upstream is still missing in the store and not used any more")
+			continue
+		}
+		s.Log.WithFields(logrus.Fields{"Upstream": r.id, "RetainMillis": time.Until(r.until).Milliseconds()}).Info("upstream is missing in the store after an outage and still used")
+	}
+	if over := len(s.list.news) - maxLoggedRetentions; over > 0 {
+		s.Log.WithField("More", over).Info("more upstreams are missing in the store, or not used any more")
+	}
+	s.list.news = nil
+}
+
 // RecordDeparture records that an upstream has said itself that it leaves. It is not
 // used again in this incarnation, whatever the store and the peers list. It reports
 // whether that was not known.
