Use a removed upstream no longer because calls to the store failed around it

Cause: a failed call and an outage in which entries expire were one belief. Each answer after a failure began a retention period of two seconds, in which removed entries count as expired, and there was one end for all retained entries, which each further answer after a failure moved on.

Ruled out: a removal that is learned late (0 ms); that it takes two moments around the removal: one disturbance of 1 s of silence is enough.

Change: a retention period begins only if nothing was known of the store for two heartbeats of the upstreams, which is what it takes for an entry to expire (new setting UpstreamHeartbeatMillis, filled in by the platform). The time is counted from when the list was last complete, so that an instance that did not run takes no outage for short. Each entry has its own end, set when it is missed. Many entries that go at once are retained from when they may have been removed. A watch of an instance that follows the store waits for at most one heartbeat, so that one lost watch is no outage.

Why it works: after failed calls that are shorter than two heartbeats nothing is retained; otherwise an entry is used for two seconds after it was missed at most, whatever follows.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -137,6 +137,7 @@
 	}
 	i.Roster = &roster.Service{
 		Platform: i.store, Peers: i.Peers, Log: i.Log, Role: i.role, Deadline: i.Settings.Routes.LeavingDeadline,
+		Heartbeat: i.Settings.Routes.UpstreamHeartbeat,
 		OnChange: func(r *roster.Roster) {
 			i.Quarantine.Leaving(time.Now(), r.LeavingUpstreams())
 			i.stateChanged()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -58,6 +58,7 @@
 	Role     func() Role   // returns how closely to follow the store; nil means watches with long waits
 	Delay    time.Duration // bounds the random delay before the first call
 	Deadline time.Duration // time in which a change must be in force everywhere; zero if there is none
+	MaxWait  time.Duration // bounds the wait of one watch of an Alert instance; zero means no bound
 	OnList   func(l platform.Listing)
 	OnChange func(c platform.Changes)
 	OnOutage func(err error) // called once when the store stops answering; may be nil
@@ -70,6 +71,8 @@
 	era         int64     // of the revision
 	outageStart time.Time // when the store stopped answering; zero while it answers
 	lastFailure time.Time // when a call last failed
+	syncedAt    time.Time // when synced was the newest revision; zero before the first list
+	silence     time.Duration
 	group       background.Group
 
 	// behind is set if the changes since synced may be many: a list is shorter. Only loop
@@ -103,6 +106,15 @@
 	return f.era, f.synced
 }
 
+// Silence returns how long the store may have been away before its newest answer: the time
+// since all changes were last known. An instance that was idle or did not run in that time
+// cannot tell whether the store answered others.
+func (f *Follower) Silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silence
+}
+
 // Idle reports whether this instance is updated by its peers only.
 func (f *Follower) Idle() bool {
 	return f.Role != nil && f.Role() == Idle
@@ -137,7 +149,7 @@
 			retry.Reset()
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
-			f.recordAnswer(0, 0)
+			f.recordAnswer(0, 0, time.Now())
 			f.Log.WithField("Kind", f.Kind).Info("the store no longer has the history; listing again")
 			continue
 		case errors.Is(err, platform.ErrTooLarge) && !f.behind:
@@ -169,16 +181,19 @@
 		return nil
 	}
 	if after == 0 || f.behind || f.Platform.Era() != era {
+		sent := time.Now()
 		l, err := f.Platform.List(ctx, f.Kind)
 		if err != nil {
 			return err
 		}
 		f.behind = false
-		f.recordAnswer(l.Era, l.Revision)
+		f.recordAnswer(l.Era, l.Revision, sent)
 		f.OnList(l)
 		return nil
 	}
-	c, err := f.watch(ctx, after)
+	wait := f.watchWait()
+	latest := time.Now().Add(wait)
+	c, err := f.Platform.Watch(ctx, f.Kind, after, wait)
 	if err != nil {
 		return err
 	}
@@ -186,7 +201,7 @@
 		// Its changes are those since a revision that has been given out again.
 		return nil
 	}
-	f.recordAnswer(c.Era, c.Revision)
+	f.recordAnswer(c.Era, c.Revision, latest)
 	if len(c.Events) > 0 {
 		f.OnChange(c)
 		sleep(ctx, collectTime)
@@ -194,32 +209,44 @@
 	return nil
 }
 
-// watch waits for changes. The wait is long without a Role, because no one else
-// then relies on this instance to notice a lost watch.
-func (f *Follower) watch(ctx context.Context, after int64) (platform.Changes, error) {
-	wait := longWait
+// watchWait returns how long the next watch waits for changes. The wait is long without a
+// Role, because no one else then relies on this instance to notice a lost watch.
+func (f *Follower) watchWait() time.Duration {
 	switch {
 	case f.StoreUnreachable():
-		wait = 0
+		return 0
 	case f.Role != nil:
-		wait = f.alertWait()
+		return f.alertWait()
 	}
-	return f.Platform.Watch(ctx, f.Kind, after, wait)
+	return longWait
 }
 
 // alertWait returns how long one watch of an Alert instance waits.
 func (f *Follower) alertWait() time.Duration {
-	if f.Deadline <= 0 {
-		return defaultAlertWait
+	wait := defaultAlertWait
+	if f.Deadline > 0 {
+		wait = time.Duration(alertWaitShare * float64(f.Deadline))
 	}
-	return time.Duration(alertWaitShare * float64(f.Deadline))
+	if f.MaxWait > 0 {
+		wait = min(wait, f.MaxWait)
+	}
+	return wait
 }
 
-// recordAnswer records an answer of the store and the revision in it. It ends
-// an outage.
-func (f *Follower) recordAnswer(era, revision int64) {
+// recordAnswer records an answer of the store and the revision in it, zero if there is none.
+// It ends an outage. The answer is as of the latest time given, or of now if that is earlier:
+// it may have been there for long before an instance that did not run has read it.
+func (f *Follower) recordAnswer(era, revision int64, latest time.Time) {
 	now := time.Now()
 	f.mu.Lock()
+	f.silence = now.Sub(f.syncedAt)
+	if revision != 0 {
+		f.syncedAt = now
+		if latest.Before(now) {
+			f.syncedAt = latest
+		}
+	}
+	silence := f.silence
 	outageStart, eraBefore := f.outageStart, f.era
 	f.outageStart = time.Time{}
 	f.lastAnswer = now
@@ -232,7 +259,7 @@
 	if outageStart.IsZero() {
 		return
 	}
-	f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": now.Sub(outageStart).Milliseconds()}).Info("the store answers again")
+	f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": now.Sub(outageStart).Milliseconds(), "SilenceMillis": silence.Milliseconds()}).Info("the store answers again")
 	if f.OnReturn != nil {
 		f.OnReturn()
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -129,3 +130,42 @@
 	s.SetFaults(store.Faults{})
 	waitFor(t, r, 1)
 }
+
+// TestAlertWait checks how long a watch of an instance that follows the store waits.
+func TestAlertWait(t *testing.T) {
+	for _, c := range []struct{ deadline, bound, want time.Duration }{
+		{0, 0, defaultAlertWait},
+		{2500 * time.Millisecond, 0, time.Second},
+		{2500 * time.Millisecond, 1200 * time.Millisecond, time.Second},
+		{6 * time.Second, 1200 * time.Millisecond, 1200 * time.Millisecond},
+	} {
+		f := &Follower{Deadline: c.deadline, MaxWait: c.bound}
+		assert.Equal(t, f.alertWait(), c.want, "deadline %s, bound %s", c.deadline, c.bound)
+	}
+}
+
+// TestSilence guards against an outage that is taken for short because an instance did not run
+// in it, or because the store answered without saying what has changed.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		returns := 0
+		f := &Follower{Log: log, OnReturn: func() { returns++ }}
+		f.recordAnswer(1, 5, time.Now())
+		time.Sleep(time.Second)
+		f.recordAnswer(1, 6, time.Now().Add(time.Second))
+		assert.Equal(t, f.Silence(), time.Second)
+		// The answer of a watch is read 4 s late.
+		latest := time.Now().Add(time.Second)
+		time.Sleep(5 * time.Second)
+		f.recordAnswer(1, 7, latest)
+		f.recordFailure(io.EOF)
+		f.recordAnswer(0, 0, time.Now())
+		assert.Equal(t, f.Silence(), 4*time.Second)
+		assert.Equal(t, returns, 1)
+		time.Sleep(time.Second)
+		f.recordAnswer(1, 9, time.Now())
+		assert.Equal(t, f.Silence(), 5*time.Second, "the answer that the history is gone tells of no change")
+	})
+}
--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -26,8 +26,10 @@
 // entryList is the current list of entries. Its state depends on nothing but
 // the calls of its methods.
 type entryList struct {
-	entries  map[string]*route.Upstream
-	retained map[string]bool // entries that are used although the store does not list them
+	entries map[string]*route.Upstream
+	// retained holds the entries that are used although the store does not list them, with
+	// the time until which they are. Nothing prolongs it.
+	retained map[string]time.Time
 	// departures are the statements that upstreams have made to this instance, by their
 	// IDs. They hold whatever the store and the peers list.
 	departures map[string]departure
@@ -44,8 +46,12 @@
 	mark int64
 	// revision is that of the store up to which the list holds all changes; zero if that is
 	// not known.
-	revision      int64
-	retainUntil   time.Time   // end of the retention period
+	revision int64
+	// Entries that are missed before retainUntil are retained until then.
+	retainUntil time.Time
+	// completeAt is when the list last held all changes of the store, if the store has
+	// answered ever since; zero if it may have been away for so long that entries expired.
+	completeAt    time.Time
 	changes       []change    // most recent changes, the oldest first
 	completeAfter int64       // mark after which changes is complete
 	unlisted      bool        // no complete list has been applied in this era
@@ -66,7 +72,7 @@
 
 func newEntryList() *entryList {
 	return &entryList{
-		entries: map[string]*route.Upstream{}, retained: map[string]bool{}, departures: map[string]departure{}, unlisted: true,
+		entries: map[string]*route.Upstream{}, retained: map[string]time.Time{}, departures: map[string]departure{}, unlisted: true,
 	}
 }
 
@@ -120,16 +126,21 @@
 
 // detectExpiry starts a retention period if so many entries are removed at once
 // that they have probably expired and their upstreams have not left, as after an
-// outage that this instance has not noticed itself.
+// outage that this instance has not noticed itself. The period begins when they may have been
+// removed.
 func (l *entryList) detectExpiry(now time.Time, gone []string) {
 	expired := 0
 	for _, id := range gone {
-		if e := l.entries[id]; e != nil && !l.leaves(e) && !l.retained[id] {
+		if e := l.entries[id]; e != nil && !l.leaves(e) && !l.retains(id) {
 			expired++
 		}
 	}
 	if expired >= minExpired && expired*expiredDivisor >= len(l.entries) && !now.Before(l.retainUntil) {
-		l.retainUntil = now.Add(RetainTime)
+		start := now
+		if !l.completeAt.IsZero() {
+			start = l.completeAt
+		}
+		l.retainUntil = start.Add(RetainTime)
 	}
 }
 
@@ -230,7 +241,7 @@
 // retained entry is listed again is a change, because a peer that only retains
 // it would delete it.
 func (l *entryList) put(e *route.Upstream) bool {
-	wasRetained := l.retained[e.ID]
+	wasRetained := l.retains(e.ID)
 	delete(l.retained, e.ID)
 	old := l.entries[e.ID]
 	if old != nil && *old == *e && !wasRetained {
@@ -251,15 +262,21 @@
 	return l.put(e) || doubted
 }
 
+// retains reports whether an entry is used although the store does not list it.
+func (l *entryList) retains(id string) bool {
+	_, ok := l.retained[id]
+	return ok
+}
+
 // remove removes an entry, or retains it during a retention period unless it
 // was leaving. It reports whether the entry was removed.
 func (l *entryList) remove(now time.Time, id string) bool {
 	e := l.entries[id]
-	if e == nil {
+	if e == nil || (l.retains(id) && !l.leaves(e)) {
 		return false
 	}
 	if now.Before(l.retainUntil) && !l.leaves(e) {
-		l.retained[id] = true
+		l.retained[id] = l.retainUntil
 		l.news = append(l.news, retention{id: id, until: l.retainUntil})
 		return false
 	}
@@ -282,17 +299,19 @@
 	l.logChange(id)
 }
 
-// dropRetained deletes the retained entries once the retention period is over. It
-// reports whether there were any.
+// dropRetained deletes the entries that are not retained any longer. It reports whether
+// there were any.
 func (l *entryList) dropRetained(now time.Time) bool {
-	if now.Before(l.retainUntil) || len(l.retained) == 0 {
-		return false
-	}
-	for id := range l.retained {
+	dropped := false
+	for id, until := range l.retained {
+		if now.Before(until) {
+			continue
+		}
 		l.news = append(l.news, retention{id: id})
 		l.deleteEntry(id)
+		dropped = true
 	}
-	return l.commit(0, true)
+	return dropped && l.commit(0, true)
 }
 
 // snapshot returns the list as it is now.
--- a/roster/entrylist_test.go
+++ b/roster/entrylist_test.go
@@ -32,6 +32,26 @@
 	assert.Assert(t, r.Accepts("a") && !r.Accepts("c") && !r.Accepts("b"))
 }
 
+// TestRetentionIsNotProlonged guards against the retention of an entry that begins anew with
+// each return of the store, and with each mass removal.
+func TestRetentionIsNotProlonged(t *testing.T) {
+	l, now := newEntryList(), time.Unix(1000, 0)
+	all := []*route.Upstream{entry("a", false), entry("b", false), entry("c", false)}
+	l.replaceAll(now, 5, all)
+	l.storeReturned(now)
+	l.replaceAll(now, 9, all[1:])
+	end := now.Add(RetainTime)
+	now = now.Add(RetainTime / 2)
+	l.storeReturned(now)
+	l.replaceAll(now, 10, all[2:])
+	l.replaceAll(now, 11, nil)
+	assert.Assert(t, l.dropRetained(end))
+	r := l.snapshot()
+	assert.Assert(t, !r.Accepts("a") && r.Accepts("b") && r.Accepts("c"), "only the first entry's retention is over")
+	assert.Assert(t, l.dropRetained(now.Add(RetainTime)))
+	assert.Equal(t, len(l.snapshot().Entries), 0)
+}
+
 // TestConfirmedEntry lists an entry again at one instance while another only
 // retains it: the other fetches it, also after its own retention period.
 func TestConfirmedEntry(t *testing.T) {
--- a/roster/service.go
+++ b/roster/service.go
@@ -28,6 +28,11 @@
 	maxStartDelay = 20 * time.Millisecond
 
 	maxLoggedRetentions = 20 // lines of one change of the list
+
+	defaultHeartbeat = 1200 * time.Millisecond
+	// An entry expires after missedHeartbeats without a write. The last write may have been a
+	// heartbeat before an outage, so that an outage of one less may be enough.
+	missedHeartbeats = 3
 )
 
 // Service maintains the roster. The exported fields are set before Run.
@@ -40,6 +45,9 @@
 	// Deadline is the time in which a change in the store must be in force; zero if
 	// there is none.
 	Deadline time.Duration
+	// Heartbeat is the time between two writes of an upstream to its entry; zero means
+	// defaultHeartbeat.
+	Heartbeat time.Duration
 	// OnChange is called with each new roster; may be nil.
 	OnChange func(*Roster)
 
@@ -67,6 +75,7 @@
 		Role:     s.Role,
 		Delay:    maxStartDelay,
 		Deadline: s.Deadline,
+		MaxWait:  s.heartbeat(), // so that one lost watch is no outage in which entries expire
 		OnList:   s.applyListing,
 		OnChange: s.applyChanges,
 		OnReturn: s.storeReturned,
@@ -157,12 +166,34 @@
 	return fresh
 }
 
+// heartbeat returns the time between two writes of an upstream to its entry.
+func (s *Service) heartbeat() time.Duration {
+	if s.Heartbeat > 0 {
+		return s.Heartbeat
+	}
+	return defaultHeartbeat
+}
+
+// storeReturned starts a retention period if entries may have expired.
 func (s *Service) storeReturned() {
+	if !s.completeAt().IsZero() {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.storeReturned(time.Now())
 }
 
+// completeAt returns when all changes were known before the newest answer of the store, zero
+// if entries may have expired since.
+func (s *Service) completeAt() time.Time {
+	silence := s.follower.Silence()
+	if silence >= (missedHeartbeats-1)*s.heartbeat() {
+		return time.Time{}
+	}
+	return time.Now().Add(-silence)
+}
+
 func (s *Service) applyListing(listing platform.Listing) {
 	var entries []*route.Upstream
 	for _, o := range listing.Objects {
@@ -175,6 +206,7 @@
 			return false
 		}
 		l.startEra(time.Now(), listing.Era)
+		l.completeAt = s.completeAt()
 		return l.replaceAll(time.Now(), listing.Revision, entries)
 	})
 }
@@ -184,6 +216,7 @@
 		if c.Era != l.era || l.outdated(c.Revision) {
 			return false
 		}
+		l.completeAt = s.completeAt()
 		changed := false
 		var gone []string
 		for _, ev := range c.Events {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -44,15 +44,18 @@
 	// ExchangeBind is the address to listen on for datagrams, if it differs from
 	// Exchange; empty means Exchange.
 	ExchangeBind    string
-	AddressLifetime time.Duration     // time for which callers cache an address answer
-	GracePeriod     time.Duration     // time from a stop signal to the kill
-	RetryRatio      float64           // retries per request, shared by all instances
-	RetryWindow     time.Duration     // time over which retries are counted
-	RetrySlack      float64           // retries of all instances per window, beyond the ratio
-	ChangeDeadline  time.Duration     // time in which a changed configuration must be in force
-	LeavingDeadline time.Duration     // time in which a leaving upstream must get no new work
-	MemoryMegabytes int               // memory that the process may use; zero means no limit
-	Zones           map[string]string // region by availability zone
+	AddressLifetime time.Duration // time for which callers cache an address answer
+	GracePeriod     time.Duration // time from a stop signal to the kill
+	RetryRatio      float64       // retries per request, shared by all instances
+	RetryWindow     time.Duration // time over which retries are counted
+	RetrySlack      float64       // retries of all instances per window, beyond the ratio
+	ChangeDeadline  time.Duration // time in which a changed configuration must be in force
+	LeavingDeadline time.Duration // time in which a leaving upstream must get no new work
+	// UpstreamHeartbeat is the time between two writes of an upstream to its entry in the
+	// store; zero if it is not known.
+	UpstreamHeartbeat time.Duration
+	MemoryMegabytes   int               // memory that the process may use; zero means no limit
+	Zones             map[string]string // region by availability zone
 }
 
 // Defaults of the settings.
@@ -67,6 +70,7 @@
 	defaultRetryWindow     = 10 * time.Second
 	defaultDeadline        = 2500 * time.Millisecond
 	minDeadline            = 500 * time.Millisecond
+	maxHeartbeatMillis     = 600_000
 )
 
 // Sections of the settings.
@@ -168,6 +172,10 @@
 		LeavingDeadline: r.Duration("LeavingDeadline", defaultDeadline, minDeadline),
 		MemoryMegabytes: r.Int("MemoryMegabytes", 0, 0, 1<<20),
 	}
+	// The platform may name no heartbeat; the value is empty then.
+	if r.Text("UpstreamHeartbeatMillis", "") != "" {
+		routes.UpstreamHeartbeat = time.Duration(r.Int("UpstreamHeartbeatMillis", 0, 1, maxHeartbeatMillis)) * time.Millisecond
+	}
 	r.Finish()
 	return routes
 }
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -28,3 +28,28 @@
 	_, err = Load("no-such-file.ini")
 	assert.Assert(t, err != nil)
 }
+
+// TestUpstreamHeartbeat reads the heartbeat of the upstreams, which the platform's template
+// leaves empty where the platform names none.
+func TestUpstreamHeartbeat(t *testing.T) {
+	const text = "[Instance]\nName = a\nRegion = r\nZone = z\nCaller = 10.0.0.1:1\nPeer = 10.0.0.1:2\nOperator = 10.0.0.1:3\nPlatform = 10.0.0.9:1\n" +
+		"[Routes]\nReadiness = 10.0.0.1:4\nDirectory = 10.0.0.1:5\nExchange = 10.0.0.1:6\n"
+	for _, c := range []struct {
+		line string
+		want time.Duration
+		ok   bool
+	}{
+		{"", 0, true},
+		{"UpstreamHeartbeatMillis =", 0, true},
+		{"UpstreamHeartbeatMillis = 1200", 1200 * time.Millisecond, true},
+		{"UpstreamHeartbeatMillis = 0", 0, false},
+		{"UpstreamHeartbeatMillis = -3", 0, false},
+		{"UpstreamHeartbeatMillis = 1200ms", 0, false},
+	} {
+		s, err := Parse("x.ini", text+c.line+"\n[Zones]\nz = r\n")
+		assert.Equal(t, err == nil, c.ok, "%q: %v", c.line, err)
+		if c.ok {
+			assert.Equal(t, s.Routes.UpstreamHeartbeat, c.want, "%q", c.line)
+		}
+	}
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -71,6 +71,7 @@
 	compacted     int64                         // revision up to which the history has been removed
 	revision      int64                         // revision of the last change
 	changed       chan struct{}                 // closed on each change of the objects or the faults
+	cut           chan struct{}                 // closed when the waiting watches are cut off
 	faults        Faults
 	calls         map[string]int64 // number of calls by method
 	secondStart   time.Time        // start of the second in which calls are counted
@@ -88,6 +89,7 @@
 		history:  map[string][]Event{},
 		revision: 1,
 		changed:  make(chan struct{}),
+		cut:      make(chan struct{}),
 		calls:    map[string]int64{},
 		era:      initialEra,
 		owned:    map[objectKey]ownerWrite{},
@@ -141,6 +143,15 @@
 	})
 }
 
+// CutWatches breaks off the answers of the watches that wait for changes. All later calls are
+// answered as before.
+func (s *Server) CutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
 // Compact removes the history. Watches from an earlier revision than the
 // current one end with status 410.
 func (s *Server) Compact() {
--- a/standin/platform/watch.go
+++ b/standin/platform/watch.go
@@ -21,6 +21,9 @@
 	}
 	wait, cancel := context.WithTimeout(r.Context(), min(time.Duration(ms)*time.Millisecond, maxWait))
 	defer cancel()
+	s.mu.Lock()
+	cut := s.cut
+	s.mu.Unlock()
 	for expired := false; ; {
 		if s.watchesBlocked() && !expired {
 			// The watch does not answer until the client closes the connection.
@@ -38,6 +41,8 @@
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			breakOff(w)
 		case <-wait.Done():
 			expired = true
 		}
@@ -47,6 +52,13 @@
 	}
 }
 
+// breakOff ends an answer after its head.
+func breakOff(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 // watchesBlocked reports whether the fault DeafWatches is injected.
 func (s *Server) watchesBlocked() bool {
 	s.mu.Lock()
