Tell peers until when an entry is retained that the store does not list

An upstream that is gone could be used without end by an instance that had fetched the list of one that retained its entry and ended before it dropped it, and used again by one that had learned of the removal already.

Cause: the entries of a peer were taken for listed ones; that the peer only retained some of them, and until when, was not passed on.

Change: the answer to Roster.Fetch names the retained entries with the time that remains (bounded), and the reader retains them for that time, or not at all if it knows of the removal. Earlier builds ignore the field. The answer and its use moved to fetch.go.

--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"slices"
 	"time"
 
 	"knapweedwell/route"
@@ -144,37 +143,6 @@
 	}
 }
 
-// applyFetched applies the answer of a peer. It reports whether the answer
-// is newer than the list.
-func (l *entryList) applyFetched(now time.Time, f fetchReply) bool {
-	position := l.resolve(Position{Era: f.Era, Mark: f.Mark})
-	if !l.position().Before(position) || (position.Era > l.era && !f.Whole) {
-		return false
-	}
-	l.startEra(now, position.Era)
-	if l.unlisted && f.Whole {
-		l.doubt(pointers(f.Entries))
-	}
-	kept := map[string]bool{}
-	for i := range f.Entries {
-		if f.Whole {
-			l.put(&f.Entries[i])
-		} else {
-			l.written(&f.Entries[i])
-		}
-		kept[f.Entries[i].ID] = true
-	}
-	// The peer has retained an entry itself before it reports the removal.
-	for id := range l.entries {
-		if (f.Whole && !kept[id]) || slices.Contains(f.Removed, id) {
-			l.deleteEntry(id)
-		}
-	}
-	l.setMark(f.Mark)
-	l.revision = max(l.revision, f.Revision)
-	return true
-}
-
 // commit sets the mark of the changes since the last call, if there are any. It
 // returns changed.
 func (l *entryList) commit(revision int64, changed bool) bool {
@@ -268,6 +236,12 @@
 	return ok
 }
 
+// retain uses an entry until the given time although the store does not list it.
+func (l *entryList) retain(id string, until time.Time) {
+	l.retained[id] = until
+	l.news = append(l.news, retention{id: id, until: until})
+}
+
 // remove removes an entry, or retains it during a retention period unless it
 // was leaving. It reports whether the entry was removed.
 func (l *entryList) remove(now time.Time, id string) bool {
@@ -276,8 +250,7 @@
 		return false
 	}
 	if now.Before(l.retainUntil) && !l.leaves(e) {
-		l.retained[id] = l.retainUntil
-		l.news = append(l.news, retention{id: id, until: l.retainUntil})
+		l.retain(id, l.retainUntil)
 		return false
 	}
 	l.deleteEntry(id)
--- a/roster/entrylist_test.go
+++ b/roster/entrylist_test.go
@@ -108,17 +108,8 @@
 
 // catchUp brings copied up to date, as a fetch from a peer does.
 func catchUp(source, copied *entryList) {
-	f := fetchReply{Mark: source.mark}
-	entries, removed, ok := source.changesAfter(copied.mark)
-	if ok {
-		f.Entries, f.Removed = entries, removed
-	} else {
-		f.Whole = true
-		for _, e := range source.entries {
-			f.Entries = append(f.Entries, *e)
-		}
-	}
-	copied.applyFetched(time.Unix(1000, 0), f)
+	now := time.Unix(1000, 0)
+	copied.applyFetched(now, source.reply(now, fetchRequest{Era: copied.era, After: copied.mark}))
 }
 
 // TestFetchedRemovalWhileRetaining applies the removal of an entry by a peer in
--- /dev/null
+++ b/roster/fetch.go
@@ -0,0 +1,101 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"knapweedwell/route"
+)
+
+// fetchRequest asks a peer for the changes after a mark of an era. Earlier builds send no
+// era.
+type fetchRequest struct {
+	Era   int64
+	After int64
+}
+
+// fetchReply is a peer's answer to a fetchRequest.
+type fetchReply struct {
+	Era      int64 // zero from earlier builds
+	Mark     int64
+	Revision int64 // of the store up to which the peer has all changes; zero from earlier builds
+	Whole    bool  // Entries are all entries of the peer, not only the changed ones
+	Entries  []route.Upstream
+	Removed  []string
+	Retained []retainedEntry // entries that the peer uses although the store does not list them
+}
+
+// retainedEntry is an entry that is retained for some time more.
+type retainedEntry struct {
+	ID     string
+	Millis int64
+}
+
+// retentions returns until when the peer's retained entries are used. An absurd time is bounded.
+func (f *fetchReply) retentions(now time.Time) map[string]time.Time {
+	ends := map[string]time.Time{}
+	for _, r := range f.Retained {
+		left := min(max(r.Millis, 0), RetainTime.Milliseconds())
+		ends[r.ID] = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	return ends
+}
+
+// reply returns the answer to the request of a peer.
+func (l *entryList) reply(now time.Time, req fetchRequest) fetchReply {
+	f := fetchReply{Era: l.era, Mark: l.mark, Revision: l.revision}
+	for id, until := range l.retained {
+		f.Retained = append(f.Retained, retainedEntry{ID: id, Millis: until.Sub(now).Milliseconds()})
+	}
+	entries, removed, ok := l.changesAfter(req.After)
+	if asked := l.resolve(Position{Era: req.Era}); ok && asked.Era == l.era {
+		f.Entries, f.Removed = entries, removed
+		return f
+	}
+	f.Whole = true
+	for _, e := range l.entries {
+		f.Entries = append(f.Entries, *e)
+	}
+	return f
+}
+
+// applyFetched applies the answer of a peer. It reports whether the answer
+// is newer than the list.
+func (l *entryList) applyFetched(now time.Time, f fetchReply) bool {
+	position := l.resolve(Position{Era: f.Era, Mark: f.Mark})
+	if !l.position().Before(position) || (position.Era > l.era && !f.Whole) {
+		return false
+	}
+	l.startEra(now, position.Era)
+	if l.unlisted && f.Whole {
+		l.doubt(pointers(f.Entries))
+	}
+	retained := f.retentions(now)
+	kept := map[string]bool{}
+	for i := range f.Entries {
+		e := &f.Entries[i]
+		kept[e.ID] = true
+		switch _, ok := retained[e.ID]; {
+		case ok && (l.entries[e.ID] != nil || (f.Whole && l.gone.holds(e))):
+			// The store does not list it, and its removal may be known here already.
+		case f.Whole:
+			l.put(e)
+		default:
+			l.written(e)
+		}
+	}
+	for id, until := range retained {
+		if l.entries[id] != nil && !l.retains(id) {
+			l.retain(id, until)
+		}
+	}
+	// The peer has retained an entry itself before it reports the removal.
+	for id := range l.entries {
+		if (f.Whole && !kept[id]) || slices.Contains(f.Removed, id) {
+			l.deleteEntry(id)
+		}
+	}
+	l.setMark(f.Mark)
+	l.revision = max(l.revision, f.Revision)
+	return true
+}
--- a/roster/service.go
+++ b/roster/service.go
@@ -267,23 +267,6 @@
 	return s.follower.Idle() || Position{Era: era, Mark: revision}.Before(Position{Era: p.Era, Mark: p.Mark >> localMarkBits})
 }
 
-// fetchRequest asks a peer for the changes after a mark of an era. Earlier builds send no
-// era.
-type fetchRequest struct {
-	Era   int64
-	After int64
-}
-
-// fetchReply is a peer's answer to a fetchRequest.
-type fetchReply struct {
-	Era      int64 // zero from earlier builds
-	Mark     int64
-	Revision int64 // of the store up to which the peer has all changes; zero from earlier builds
-	Whole    bool  // Entries are all entries of the peer, not only the changed ones
-	Entries  []route.Upstream
-	Removed  []string
-}
-
 func (s *Service) fetch(ctx context.Context, address string) {
 	var f fetchReply
 	own := s.Position()
@@ -301,15 +284,5 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := fetchReply{Era: s.list.era, Mark: s.list.mark, Revision: s.list.revision}
-	entries, removed, ok := s.list.changesAfter(req.After)
-	if asked := s.list.resolve(Position{Era: req.Era}); ok && asked.Era == s.list.era {
-		f.Entries, f.Removed = entries, removed
-		return f, nil
-	}
-	f.Whole = true
-	for _, e := range s.list.entries {
-		f.Entries = append(f.Entries, *e)
-	}
-	return f, nil
+	return s.list.reply(time.Now(), req), nil
 }
