Bound the memory that the bodies of all requests take together

What callers saw: an operator reports that a faulty upstream sent bytes without end, and that a machine which kept them ran out of memory.

Cause: each buffer was bounded, their number was not.

Change: package buffer. Without memory an answer is relayed as it comes, and a request is refused as not run. The start of a large answer is dropped once the caller has it.

--- /dev/null
+++ b/buffer/memory.go
@@ -0,0 +1,37 @@
+package buffer
+
+import "sync/atomic"
+
+// Memory is the memory that the buffers of a process may take together. Limit is set before
+// the first use. Its methods may be called concurrently.
+type Memory struct {
+	Limit int64 // bytes; zero means no limit
+
+	used    atomic.Int64
+	refused atomic.Int64
+}
+
+// reserve takes bytes and reports whether there were as many left.
+func (m *Memory) reserve(n int64) bool {
+	if used := m.used.Add(n); m.Limit <= 0 || used <= m.Limit {
+		return true
+	}
+	m.used.Add(-n)
+	m.refused.Add(1)
+	return false
+}
+
+// release returns bytes that were reserved.
+func (m *Memory) release(n int64) {
+	m.used.Add(-n)
+}
+
+// Used returns the number of bytes that are reserved.
+func (m *Memory) Used() int64 {
+	return m.used.Load()
+}
+
+// Refused returns how often a buffer did not get the bytes that it needed.
+func (m *Memory) Refused() int64 {
+	return m.refused.Load()
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,7 @@
 
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
+	"knapweedwell/buffer"
 	"knapweedwell/exchange"
 	"knapweedwell/follow"
 	"knapweedwell/forward"
@@ -38,6 +39,9 @@
 	exitMargin      = 400 * time.Millisecond // part of the grace period that is kept for the exit
 	shutdownTime    = 250 * time.Millisecond // part of exitMargin for requests accepted in the last moment
 	stopCheckPeriod = 50 * time.Millisecond
+
+	megabyte          = 1 << 20
+	bodyMemoryPercent = 30 // part of the process's memory for bodies; as much again may be garbage
 )
 
 // Instance holds the services of one instance. The exported fields up to Check are
@@ -228,6 +232,7 @@
 		Budget:           &budget.Budget{Ratio: r.RetryRatio, Window: r.RetryWindow, Slack: r.RetrySlack, Instances: i.instances},
 		Quarantine:       i.Quarantine,
 		Limits:           i.Limits,
+		Memory:           &buffer.Memory{Limit: int64(r.MemoryMegabytes) * megabyte * bodyMemoryPercent / 100},
 		Metrics:          i.metrics,
 		Check:            i.Check,
 		Log:              i.Log,
@@ -250,6 +255,8 @@
 	i.metrics.Gauge("knapweedwell_quarantined_parts", func() float64 { return float64(len(i.Quarantine.Verdicts(time.Now()))) })
 	i.metrics.Gauge("knapweedwell_quarantine_refusals_total", func() float64 { return float64(i.Quarantine.Refusals()) })
 	i.metrics.Gauge("knapweedwell_limited_upstreams", func() float64 { return float64(i.Limits.Limited()) })
+	i.metrics.Gauge("knapweedwell_body_memory_bytes", func() float64 { return float64(i.Forward.Memory.Used()) })
+	i.metrics.Gauge("knapweedwell_body_memory_refused_total", func() float64 { return float64(i.Forward.Memory.Refused()) })
 	i.metrics.Gauge("knapweedwell_store_era", func() float64 { return float64(i.storeEra()) })
 	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
 	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -7,6 +7,9 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"knapweedwell/buffer"
 	"knapweedwell/request"
 )
 
@@ -79,30 +82,47 @@
 }
 
 // readBody reads the whole body. It refuses a body that is larger than the
-// table's limit or that does not arrive within bodyTimeout.
+// table's limit, that does not arrive within bodyTimeout, or for which no memory is left.
 func (rs *requestState) readBody() *request.Failure {
 	if rs.r.ContentLength == 0 {
 		return nil
 	}
-	limit := rs.table.Limits.BodyBytes
+	limit := int64(rs.table.Limits.BodyBytes)
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	_ = rs.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var err error
-	rs.body, err = io.ReadAll(http.MaxBytesReader(rs.w, rs.r.Body, int64(limit)))
+	source := http.MaxBytesReader(rs.w, rs.r.Body, limit)
+	body := rs.newBuffer()
+	err := body.Fill(source, rs.r.ContentLength, limit)
+	if errors.Is(err, buffer.ErrSpent) {
+		return rs.refuseBody(body, source)
+	}
+	rs.body = body.Bytes()
 	if err == nil {
 		_ = rs.control.SetReadDeadline(time.Time{})
 		return nil
 	}
 	rs.w.Header().Set("Connection", "close")
 	f := request.Malformed([]request.Finding{{Place: "body", Message: err.Error()}})
-	if len(rs.body) >= limit {
+	if int64(len(rs.body)) >= limit {
 		f.Status = http.StatusRequestEntityTooLarge
 	}
 	return f
 }
 
+// refuseBody refuses a request for whose body no memory is left. It discards the rest of the
+// body: a caller that is still writing would not read the answer.
+func (rs *requestState) refuseBody(body *buffer.Buffer, rest io.Reader) *request.Failure {
+	rs.s.logMemorySpent()
+	body.Free()
+	if _, err := io.Copy(io.Discard, rest); err != nil {
+		rs.w.Header().Set("Connection", "close")
+	}
+	_ = rs.control.SetReadDeadline(time.Time{})
+	return request.Unavailable("no memory is left for the body of the request").WithRetryAfter(memoryRetryAfter)
+}
+
 // context returns the context of the sends. It ends at the request's deadline, at the end
 // of a planned stop, and also when the caller disconnects, unless the request may run only
 // once and is not a stream.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,7 @@
 	"knapweedwell/background"
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
+	"knapweedwell/buffer"
 	"knapweedwell/httpwire"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
@@ -54,6 +55,7 @@
 	Budget           *budget.Budget
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Limits
+	Memory           *buffer.Memory // for bodies
 	Metrics          *metric.Registry
 	Check            *invariant.Checker
 	Log              logrus.FieldLogger
@@ -67,6 +69,7 @@
 	active  map[*requestState]bool // requests in progress
 	lastEnd time.Time              // when a request last ended
 	waits   waitFactors
+	spentAt atomic.Int64 // when it was last logged that the memory for bodies is spent, in Unix seconds
 	probes  background.Group
 }
 
@@ -150,11 +153,21 @@
 	s.lastEnd = time.Now()
 }
 
+// logMemorySpent logs that the memory for bodies is spent, at most once a second.
+func (s *Server) logMemorySpent() {
+	now, last := time.Now().Unix(), s.spentAt.Load()
+	if now == last || !s.spentAt.CompareAndSwap(last, now) {
+		return
+	}
+	s.Log.WithFields(logrus.Fields{"UsedBytes": s.Memory.Used(), "LimitBytes": s.Memory.Limit, "Refused": s.Memory.Refused()}).Warn("the memory for bodies is spent")
+}
+
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rs := &requestState{s: s, w: w, r: r, control: http.NewResponseController(w), headers: platform.ReadRequestHeaders(r.Header), arrived: time.Now()}
 	s.requestStarted(rs)
 	defer s.requestEnded(rs)
+	defer rs.freeBuffers()
 	if s.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedwell/balancer"
+	"knapweedwell/buffer"
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
 	"knapweedwell/request"
@@ -21,6 +22,7 @@
 	outageRetryAfter  = 2500 * time.Millisecond // advised by an instance that waits for the store to answer again
 	leavingRetryAfter = 20 * time.Millisecond   // advised by an instance that leaves; another one can serve at once
 	notRunRetryAfter  = 250 * time.Millisecond  // advised when no upstream ran the request
+	memoryRetryAfter  = time.Second             // advised by an instance without memory for the body
 
 	answerMargin = 15 * time.Millisecond // the upstream's deadline is this much before the caller's, so that its answer at its deadline can arrive
 )
@@ -40,6 +42,7 @@
 	pool         *route.Pool
 	rank         int
 	body         []byte
+	buffers      []*buffer.Buffer // of the request's body and of the answers
 
 	sends       int // number of upstreams that got the request
 	runs        int // number of upstreams that may have run it
@@ -237,6 +240,20 @@
 	return request.Unavailable("%s before an upstream took it", reason).WithRetryAfter(notRunRetryAfter)
 }
 
+// newBuffer returns a buffer that is freed when the request ends.
+func (rs *requestState) newBuffer() *buffer.Buffer {
+	b := &buffer.Buffer{Memory: rs.s.Memory}
+	rs.buffers = append(rs.buffers, b)
+	return b
+}
+
+// freeBuffers frees the buffers of a request that has ended.
+func (rs *requestState) freeBuffers() {
+	for _, b := range rs.buffers {
+		b.Free()
+	}
+}
+
 // deliver writes a complete answer to the caller.
 func (rs *requestState) deliver(a *answer) {
 	rs.begin(a.status, a.header)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,12 +37,17 @@
 // that breaks off within an event can be resumed at another upstream.
 func (t *transfer) relayStream() result {
 	rs := t.rs
-	var pending []byte
+	pending := rs.newBuffer()
+	defer pending.Free()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := t.resp.Body.Read(buf)
-		pending = append(pending, buf[:n]...)
-		complete := endOfEvents(pending)
+		if spent := pending.Append(buf[:n]); spent != nil {
+			t.keep = false
+			rs.s.logMemorySpent()
+			return broken{reason: spent.Error()}
+		}
+		complete := endOfEvents(pending.Bytes())
 		if complete > 0 {
 			now := time.Now()
 			t.observeWait(now, false)
@@ -50,20 +55,20 @@
 			t.attempt.Event(now)
 			t.watched.Event(now)
 			rs.stream.recordGap(now)
-			if werr := rs.writeEvents(t, pending[:complete]); werr != nil {
+			if werr := rs.writeEvents(t, pending.Bytes()[:complete]); werr != nil {
 				t.keep = false
 				rs.callerGone = errors.Is(werr, errWriteToCaller)
 				return broken{reason: werr.Error()}
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			pending.Discard(complete)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return t.finishStream(pending)
+			return t.finishStream(pending.Bytes())
 		case err != nil:
 			t.keep = false
 			return broken{reason: errors.Wrap(err, "read stream").Error()}
-		case len(pending) > maxEventBytes:
+		case len(pending.Bytes()) > maxEventBytes:
 			t.keep = false
 			return broken{reason: "an event of the stream is too large"}
 		}
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -1,17 +1,18 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"knapweedwell/balancer"
+	"knapweedwell/buffer"
 	"knapweedwell/httpwire"
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
@@ -222,20 +223,25 @@
 }
 
 // relayWhole reads an answer that is not a stream to its end before any of it is
-// written to the caller, unless it is larger than maxBufferedBytes.
+// written to the caller, unless it is larger than maxBufferedBytes or the memory for bodies is
+// spent.
 func (t *transfer) relayWhole(success bool) result {
 	status := t.resp.StatusCode
-	body, err := io.ReadAll(io.LimitReader(t.resp.Body, maxBufferedBytes+1))
+	body := t.rs.newBuffer()
+	err := body.Fill(t.resp.Body, t.resp.ContentLength, maxBufferedBytes)
 	switch {
+	case errors.Is(err, io.ErrShortBuffer):
+		return t.relayLarge(body)
+	case errors.Is(err, buffer.ErrSpent):
+		t.rs.s.logMemorySpent()
+		return t.relayLarge(body)
 	case err != nil:
 		t.keep = false
 		return broken{reason: errors.Wrap(err, "read answer").Error()}
-	case len(body) > maxBufferedBytes:
-		return t.relayLarge(body)
 	}
 	t.attempt.First(time.Now())
 	httpwire.StripHop(t.resp.Header)
-	a := &answer{status: status, header: t.resp.Header, body: body}
+	a := &answer{status: status, header: t.resp.Header, body: body.Bytes()}
 	if success || (status < http.StatusInternalServerError && !impliesNotRun(status)) {
 		t.rs.deliver(a)
 		return served{}
@@ -256,21 +262,23 @@
 	return false
 }
 
-// relayLarge relays an answer that is too large to be buffered. The start of its
-// body was already read.
-func (t *transfer) relayLarge(start []byte) result {
+// relayLarge relays an answer that cannot be buffered. The start of its body was already
+// read.
+func (t *transfer) relayLarge(start *buffer.Buffer) result {
 	httpwire.StripHop(t.resp.Header)
 	t.rs.begin(t.resp.StatusCode, t.resp.Header)
 	t.rs.w.WriteHeader(t.resp.StatusCode)
-	source := io.MultiReader(bytes.NewReader(start), t.resp.Body)
+	for text := range slices.Chunk(start.Bytes(), relayBytes) {
+		if res := t.writePart(text); res != nil {
+			return res
+		}
+	}
+	start.Free()
 	buf := make([]byte, relayBytes)
 	for {
-		n, err := source.Read(buf)
-		t.rs.extendWrite()
-		if _, werr := t.rs.w.Write(buf[:n]); werr != nil {
-			t.keep = false
-			t.rs.callerGone = true
-			return broken{reason: errors.Wrap(errWriteToCaller, werr.Error()).Error()}
+		n, err := t.resp.Body.Read(buf)
+		if res := t.writePart(buf[:n]); res != nil {
+			return res
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -283,6 +291,18 @@
 	}
 }
 
+// writePart writes a part of a large answer. It returns the result of the send if the caller
+// does not take it, nil otherwise.
+func (t *transfer) writePart(text []byte) result {
+	t.rs.extendWrite()
+	if _, err := t.rs.w.Write(text); err != nil {
+		t.keep = false
+		t.rs.callerGone = true
+		return broken{reason: errors.Wrap(errWriteToCaller, err.Error()).Error()}
+	}
+	return nil
+}
+
 // skipBody reads the body of a short answer that is not relayed, so that the
 // connection can be reused.
 func (t *transfer) skipBody() {
--- a/soak/node.go
+++ b/soak/node.go
@@ -12,7 +12,10 @@
 	"github.com/pkg/errors"
 )
 
-const gracePeriod = 8 * time.Second // from a stop signal to the kill
+const (
+	gracePeriod     = 8 * time.Second // from a stop signal to the kill
+	memoryMegabytes = 284             // of each instance
+)
 
 // Ports of an instance. Each instance has its own loopback address, so the ports
 // are the same for all.
@@ -91,6 +94,7 @@
 RetryRatio = 0.2
 RetryWindow = 10s
 RetrySlack = 50
+MemoryMegabytes = %d
 
 [Zones]
 z0 = r0
@@ -104,7 +108,7 @@
 	region := map[string]string{"z0": "r0", "z1": "r0", "z2": "r1"}[n.zone]
 	text := fmt.Sprintf(settingsText, n.name, region, n.zone, n.address(callerPort), n.peers.Address(), n.address(peerPort),
 		n.address(operatorPort), n.store.Address(), seeds, n.address(readinessPort), n.address(directoryPort), n.datagrams.Address(),
-		n.address(exchangePort), lifetime, gracePeriod)
+		n.address(exchangePort), lifetime, gracePeriod, memoryMegabytes)
 	return errors.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600), "write settings")
 }
 
