Keep removed upstreams out of use after a restore, however many there are

Cause: entries that were gone before the restore were taken for expired ones if they were a third of all; that they were removed while the store answered was not remembered.

Ruled out: the retention period of the restore, and peers that do not know of the removal.

Change: a removed entry is remembered with the way in which it went, also at peers. TestDoubtEnds expected removed entries to be used if they are many: that was the fault; its table has both ways now, the old one for expired entries.

--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -253,14 +253,15 @@
 		l.retain(id, l.retainUntil)
 		return false
 	}
-	l.deleteEntry(id)
+	l.deleteEntry(id, false)
 	return true
 }
 
-// deleteEntry deletes an entry and logs the change.
-func (l *entryList) deleteEntry(id string) {
+// deleteEntry deletes an entry and logs the change. Expired means that its upstream may run
+// all the same.
+func (l *entryList) deleteEntry(id string, expired bool) {
 	if e := l.entries[id]; e != nil {
-		l.gone.add(e)
+		l.gone.add(e, expired && !l.leaves(e))
 		if e.Born == 0 {
 			// Its next incarnation could not be told from this one.
 			delete(l.departures, id)
@@ -281,7 +282,7 @@
 			continue
 		}
 		l.news = append(l.news, retention{id: id})
-		l.deleteEntry(id)
+		l.deleteEntry(id, true)
 		dropped = true
 	}
 	return dropped && l.commit(0, true)
--- a/roster/era.go
+++ b/roster/era.go
@@ -14,31 +14,40 @@
 	maxGone   = 2048 // removed entries that are remembered
 )
 
-// goneEntries holds the incarnations of removed entries, by their IDs.
+// goneEntry is the incarnation of a removed entry.
+type goneEntry struct {
+	born int64
+	// expired means that the entry may have expired in an outage although its upstream runs.
+	expired bool
+}
+
+// goneEntries holds the removed entries, by their IDs.
 type goneEntries struct {
-	born  map[string]int64
-	order []string // IDs, those removed first before the others
+	entries map[string]goneEntry
+	order   []string // IDs, those removed first before the others
 }
 
 // add records the removal of an entry.
-func (g *goneEntries) add(e *route.Upstream) {
-	if g.born == nil {
-		g.born = map[string]int64{}
+func (g *goneEntries) add(e *route.Upstream, expired bool) {
+	if g.entries == nil {
+		g.entries = map[string]goneEntry{}
 	}
-	g.born[e.ID] = e.Born
+	g.entries[e.ID] = goneEntry{born: e.Born, expired: expired}
 	g.order = append(g.order, e.ID)
 	if over := len(g.order) - maxGone; over > 0 {
 		for _, id := range g.order[:over] {
-			delete(g.born, id)
+			delete(g.entries, id)
 		}
 		g.order = append([]string(nil), g.order[over:]...)
 	}
 }
 
-// holds reports whether the incarnation of an entry was removed.
-func (g *goneEntries) holds(e *route.Upstream) bool {
-	born, ok := g.born[e.ID]
-	return ok && born == e.Born
+// holds reports whether the incarnation of an entry was removed, and whether it may have
+// expired.
+func (g *goneEntries) holds(e *route.Upstream) (gone, expired bool) {
+	r, ok := g.entries[e.ID]
+	gone = ok && r.born == e.Born
+	return gone, gone && r.expired
 }
 
 // position returns the position of the list.
@@ -79,16 +88,23 @@
 	l.storeReturned(now)
 }
 
-// doubt marks the entries of the first complete list of an era that were gone before it.
-// If they are as many as expire in an outage, they have expired and their upstreams run.
+// doubt marks the entries of the first complete list of an era that were gone before it. Those
+// that may have expired are not in doubt if they are as many as expire in an outage: their
+// upstreams run.
 func (l *entryList) doubt(entries []*route.Upstream) {
+	var expired []string
 	for _, e := range entries {
-		if l.goneBefore.holds(e) {
+		switch gone, mayRun := l.goneBefore.holds(e); {
+		case mayRun:
+			expired = append(expired, e.ID)
+		case gone:
 			l.doubted[e.ID] = true
 		}
 	}
-	if n := len(l.doubted); n >= minExpired && n*expiredDivisor >= len(entries) {
-		clear(l.doubted)
+	if n := len(expired); n < minExpired || n*expiredDivisor < len(entries) {
+		for _, id := range expired {
+			l.doubted[id] = true
+		}
 	}
 	l.goneBefore = goneEntries{}
 }
--- a/roster/era_test.go
+++ b/roster/era_test.go
@@ -58,14 +58,26 @@
 	assert.Assert(t, ok)
 }
 
-// TestDoubtEnds lists entries that were gone before the store came back from a copy: few are
-// in doubt until doubtTime is over or they are written again, many have expired.
+// TestDoubtEnds lists entries that were gone before the store came back from a copy. Those that
+// were removed while the store answered are in doubt until doubtTime is over or they are written
+// again, however many. Of those that may have expired, few are, and many run.
 func TestDoubtEnds(t *testing.T) {
 	for _, c := range []struct {
 		gone    int // of 12
+		expired bool
 		doubted int
-	}{{0, 0}, {1, 1}, {3, 3}, {4, 0}, {12, 0}} {
-		t.Run(fmt.Sprint(c.gone), func(t *testing.T) {
+	}{
+		{0, false, 0},
+		{1, false, 1},
+		{3, false, 3},
+		{4, false, 4},
+		{12, false, 12},
+		{1, true, 1},
+		{3, true, 3},
+		{4, true, 0},
+		{12, true, 0},
+	} {
+		t.Run(fmt.Sprintf("%d, expired %t", c.gone, c.expired), func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			var all []*route.Upstream
 			for i := range 12 {
@@ -74,9 +86,14 @@
 			l := newEntryList()
 			l.startEra(now, 1)
 			l.replaceAll(now, 5, all)
+			if c.expired {
+				l.storeReturned(now)
+			}
 			for _, e := range all[:c.gone] {
 				l.commit(6, l.remove(now, e.ID))
 			}
+			now = now.Add(RetainTime)
+			l.dropRetained(now)
 			l.startEra(now, 2)
 			l.replaceAll(now, 5, all)
 			assert.Equal(t, len(l.snapshot().Pool("p")), 12-c.doubted)
@@ -117,3 +134,30 @@
 		assert.Equal(t, f.Era, int64(2))
 	}
 }
+
+// TestExpiryAtPeers guards against an instance that takes the upstreams of an outage for gone
+// because it has learned from a peer that their entries were removed.
+func TestExpiryAtPeers(t *testing.T) {
+	for _, expired := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		all := []*route.Upstream{born("a", 1), born("b", 1), born("c", 1)}
+		source, copied := newEntryList(), newEntryList()
+		for _, l := range []*entryList{source, copied} {
+			l.startEra(now, 1)
+			l.replaceAll(now, 5, all)
+		}
+		if expired {
+			source.storeReturned(now)
+		}
+		source.commit(6, source.remove(now, "a"))
+		source.commit(7, source.remove(now, "b"))
+		source.dropRetained(now.Add(RetainTime))
+		catchUp(source, copied)
+		assert.Equal(t, len(copied.snapshot().Pool("p")), 1)
+		for _, l := range []*entryList{source, copied} {
+			l.startEra(now, 2)
+			l.replaceAll(now, 5, all)
+			assert.Equal(t, l.snapshot().Accepts("a"), expired, "copied: %t", l == copied)
+		}
+	}
+}
--- a/roster/fetch.go
+++ b/roster/fetch.go
@@ -22,6 +22,7 @@
 	Whole    bool  // Entries are all entries of the peer, not only the changed ones
 	Entries  []route.Upstream
 	Removed  []string
+	Expired  []string        // those of Removed that may have expired although their upstreams run
 	Retained []retainedEntry // entries that the peer uses although the store does not list them
 }
 
@@ -50,6 +51,11 @@
 	entries, removed, ok := l.changesAfter(req.After)
 	if asked := l.resolve(Position{Era: req.Era}); ok && asked.Era == l.era {
 		f.Entries, f.Removed = entries, removed
+		for _, id := range removed {
+			if l.gone.entries[id].expired {
+				f.Expired = append(f.Expired, id)
+			}
+		}
 		return f
 	}
 	f.Whole = true
@@ -75,8 +81,10 @@
 	for i := range f.Entries {
 		e := &f.Entries[i]
 		kept[e.ID] = true
-		switch _, ok := retained[e.ID]; {
-		case ok && (l.entries[e.ID] != nil || (f.Whole && l.gone.holds(e))):
+		_, missing := retained[e.ID]
+		gone, _ := l.gone.holds(e)
+		switch {
+		case missing && (l.entries[e.ID] != nil || (f.Whole && gone)):
 			// The store does not list it, and its removal may be known here already.
 		case f.Whole:
 			l.put(e)
@@ -92,7 +100,7 @@
 	// The peer has retained an entry itself before it reports the removal.
 	for id := range l.entries {
 		if (f.Whole && !kept[id]) || slices.Contains(f.Removed, id) {
-			l.deleteEntry(id)
+			l.deleteEntry(id, l.retains(id) || slices.Contains(f.Expired, id))
 		}
 	}
 	l.setMark(f.Mark)
--- a/simulation/edge_restore_test.go
+++ b/simulation/edge_restore_test.go
@@ -88,6 +88,33 @@
 	})
 }
 
+// TestRestoreAfterRelease guards against new work for an upstream whose entry was removed, after
+// so many others have left that their old entries look like expired ones.
+func TestRestoreAfterRelease(t *testing.T) {
+	simulateRoutes(t, 4, func(sim *routeSimulation) {
+		time.Sleep(time.Second)
+		old := []string{"calls-0", "calls-1", "calls-2"}
+		for n, id := range old {
+			sim.startRunner("calls-next-"+itoa(n), "calls")
+			if n < len(old)-1 {
+				sim.putEntry(id, "calls", "draining")
+			}
+			time.Sleep(500 * time.Millisecond)
+			sim.store.Delete("servers", id)
+		}
+		time.Sleep(time.Second)
+		sim.store.Restore(3500*time.Millisecond, -1)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			for _, id := range old {
+				if !sim.rejected(id) {
+					t.Fatalf("%s is used again", id)
+				}
+			}
+		}
+	})
+}
+
 // TestRestoredStoreListsInstance guards against an instance that started in the seconds which
 // the store has lost and that is not listed any more.
 func TestRestoredStoreListsInstance(t *testing.T) {
