Leave a stream at an upstream that has only paused

Cause: an upstream without an event for some time was taken for down.

Evidence: TestPausedStreamStays failed before in both cases of a pause.

Change: before a stream that has begun is interrupted, its upstream is asked for its report. Any answer means that it runs, and the stream stays. Requests whose answer has not begun go elsewhere as before.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -52,6 +52,20 @@
 	return a.overdue(now) && a.state.receivedAt.Before(a.sentAt)
 }
 
+// Answering reports whether the first token or the answer was received.
+func (a *Attempt) Answering() bool {
+	a.picker.mu.Lock()
+	defer a.picker.mu.Unlock()
+	return a.answering
+}
+
+// Heard records that the upstream has answered something else, so that it is not silent.
+func (a *Attempt) Heard(now time.Time) {
+	a.picker.mu.Lock()
+	defer a.picker.mu.Unlock()
+	a.state.receivedAt = now
+}
+
 // Event records that events of the stream were received.
 func (a *Attempt) Event(now time.Time) {
 	a.picker.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"knapweedwell/background"
 	"knapweedwell/balancer"
@@ -61,16 +62,17 @@
 	Log              logrus.FieldLogger
 	Listen           func(network, address string) (net.Listener, error)
 
-	server  *webserver.Server
-	leaving atomic.Pointer[leaving] // the planned stop, nil before it
-	ended   context.Context         // ends with the planned stop
-	endAll  context.CancelFunc
-	mu      sync.Mutex
-	active  map[*requestState]bool // requests in progress
-	lastEnd time.Time              // when a request last ended
-	waits   waitFactors
-	spentAt atomic.Int64 // when it was last logged that the memory for bodies is spent, in Unix seconds
-	probes  background.Group
+	server    *webserver.Server
+	leaving   atomic.Pointer[leaving] // the planned stop, nil before it
+	ended     context.Context         // ends with the planned stop
+	endAll    context.CancelFunc
+	mu        sync.Mutex
+	active    map[*requestState]bool // requests in progress
+	lastEnd   time.Time              // when a request last ended
+	waits     waitFactors
+	spentAt   atomic.Int64 // when it was last logged that the memory for bodies is spent, in Unix seconds
+	probes    background.Group
+	questions singleflight.Group // to silent upstreams, by ID
 }
 
 // Run starts listening.
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -9,12 +9,17 @@
 // resumePeriod is the time between attempts to resume an answer that has begun.
 const resumePeriod = 300 * time.Millisecond
 
+// canSendElsewhere reports whether another upstream than the chosen one can be chosen.
+func (rs *requestState) canSendElsewhere(now time.Time) bool {
+	avoid := maps.Clone(rs.avoidNow(now))
+	avoid[rs.choice.Upstream.ID] = true
+	return rs.s.Picker.HasUpstream(now, rs.s.Roster().Pool(rs.pool.Name), avoid)
+}
+
 // reserveRetry reports whether the request can be sent to another upstream than the
 // chosen one, and if so takes the retry from the budget.
 func (rs *requestState) reserveRetry(now time.Time) bool {
-	avoid := maps.Clone(rs.avoidNow(now))
-	avoid[rs.choice.Upstream.ID] = true
-	if !rs.s.Picker.HasUpstream(now, rs.s.Roster().Pool(rs.pool.Name), avoid) {
+	if !rs.canSendElsewhere(now) {
 		return false
 	}
 	rs.retryTaken = rs.s.Budget.AllowRetry(now, rs.pool.Name)
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -23,12 +23,6 @@
 	maxBufferedBytes  = 2 << 20 // largest answer that is read completely before it is relayed
 	readBufferBytes   = 4 << 10
 	relayBytes        = 32 << 10 // part of a large answer for which the caller has writeTimeout
-
-	// A stream is resumed elsewhere after a silence of silenceFactor times the
-	// route's target for the gap between events, but not before minSilence.
-	silenceFactor      = 4
-	minSilence         = time.Second
-	silenceCheckPeriod = 100 * time.Millisecond
 )
 
 // result is the outcome of one send.
@@ -90,38 +84,6 @@
 	silent atomic.Bool // whether the connection was interrupted because the upstream was silent
 }
 
-// watchSilence interrupts the connection once the upstream has been silent for
-// too long, if the request may run again and can be sent elsewhere. The returned
-// function stops the check and waits for its end.
-func (t *transfer) watchSilence() func() {
-	if !t.rs.mayRetryAfterRun() {
-		return func() {}
-	}
-	maxSilence := max(silenceFactor*t.rs.route.GapAim, minSilence)
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(silenceCheckPeriod)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case now := <-ticker.C:
-				if t.attempt.Silent(now, maxSilence) && !t.rs.stream.unnumbered.Load() && t.rs.reserveRetry(now) {
-					t.silent.Store(true)
-					t.conn.Interrupt()
-					return
-				}
-			}
-		}
-	}()
-	return func() {
-		close(done)
-		<-ended
-	}
-}
-
 // roundTrip sends the request and relays the answer.
 func (t *transfer) roundTrip(r *httpwire.Request) result {
 	if err := t.conn.Send(r); err != nil {
--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -85,7 +85,7 @@
 	for {
 		c := p.takeIdle(upstream, requestID)
 		if c == nil {
-			return p.connect(ctx, upstream, address, requestID)
+			return p.Connect(ctx, upstream, address, requestID)
 		}
 		c.requestID = requestID
 		if c.usable() {
@@ -119,8 +119,9 @@
 	return c
 }
 
-// connect opens a connection to the address.
-func (p *ConnPool) connect(ctx context.Context, upstream, address, requestID string) (*Conn, error) {
+// Connect opens a new connection to the address for the request with the ID. An error means
+// that nothing was sent.
+func (p *ConnPool) Connect(ctx context.Context, upstream, address, requestID string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	start := time.Now()
--- a/simulation/edge_silence_test.go
+++ b/simulation/edge_silence_test.go
@@ -67,3 +67,59 @@
 		sim.expect(sim.send(request{path: "/read/1", id: "a"}), 200, "answer to a")
 	})
 }
+
+// TestPausedStreamStays guards against a stream that goes on at a second upstream while the
+// first one, which has only paused, still works on it.
+func TestPausedStreamStays(t *testing.T) {
+	const (
+		events = 4
+		first  = 500 * time.Millisecond // after which the upstream has made the first events
+	)
+	paused := runner.Faults{Pause: 1800 * time.Millisecond}
+	mute := paused
+	mute.NoReport = true
+	for _, c := range []struct {
+		name   string
+		faults runner.Faults
+		cut    bool // whether the upstream becomes unreachable
+		stop   bool // whether the instance is asked to stop
+		full   bool // whether the other upstreams are full for a while
+		runs   int
+	}{
+		{"paused", paused, false, false, false, 1},
+		{"paused in a planned stop, others full", paused, false, true, true, 1},
+		{"unreachable", runner.Faults{Pause: 200 * time.Millisecond}, true, false, false, 2},
+		{"says nothing", mute, false, false, false, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulateRoutes(t, 1, func(sim *routeSimulation) {
+				sim.setFaults("model", c.faults)
+				time.AfterFunc(first, func() {
+					for id, r := range sim.runners {
+						switch {
+						case r.RunsOf("a") == 0:
+							r.SetFaults(runner.Faults{Full: c.full})
+						case c.cut:
+							sim.network.setCut("10.1.0.1", sim.hosts[id], true)
+							sim.network.setCut(sim.hosts[id], "10.1.0.1", true)
+						}
+					}
+					if c.stop {
+						sim.instances[0].Forward.Leave(time.Now(), time.Now().Add(8*time.Second))
+					}
+				})
+				if c.full {
+					time.AfterFunc(5*time.Second, func() { sim.setFaults("", runner.Faults{}) })
+				}
+				sim.expect(sim.send(request{path: "/talk/1?events=" + itoa(events), id: "a"}), 200, streamText("a", events))
+				runs := 0
+				for _, r := range sim.runners {
+					runs += r.RunsOf("a")
+				}
+				if runs != c.runs {
+					t.Errorf("%d upstreams ran the stream, expected %d", runs, c.runs)
+				}
+			})
+		})
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -57,6 +57,7 @@
 	// DeadlyEvents events; empty for none.
 	DeadlyTarget string
 	DeadlyEvents int
+	NoReport     bool // does not answer when it is asked for its report
 }
 
 // ReceivedRequest is one request as received.
@@ -187,6 +188,8 @@
 			r.handleFaults(w, req)
 		case "/admin/runs":
 			webserver.WriteJSON(w, r.Runs())
+		case "/v1/report":
+			r.serveReport(w, req)
 		case "/admin/seen":
 			webserver.WriteJSON(w, r.Received())
 		default:
@@ -195,6 +198,21 @@
 	})
 }
 
+// serveReport answers with what the upstream says of itself.
+func (r *Runner) serveReport(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	silent, running := r.faults.NoReport || r.faults.Silent, r.running
+	r.mu.Unlock()
+	switch {
+	case silent:
+		<-req.Context().Done()
+	case req.Header.Get(expectedHeader) != r.ID:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	default:
+		webserver.WriteJSON(w, map[string]any{"queued": 0, "active": running})
+	}
+}
+
 // handleFaults replaces the injected faults by those in the request body.
 func (r *Runner) handleFaults(w http.ResponseWriter, req *http.Request) {
 	var f Faults
