Soak: cut off watches all the time, and remove entries of upstreams that serve on

Change: a series of its own cuts off the waiting watches of the store, and every other upstream that leaves has its entry removed instead of reporting that it drains.

--- a/simulation/edge_retention_test.go
+++ b/simulation/edge_retention_test.go
@@ -1,9 +1,11 @@
 package simulation
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"knapweedwell/edge"
 	"knapweedwell/standin/platform"
 )
 
@@ -104,3 +106,35 @@
 		})
 	}
 }
+
+// TestCutWatchesDelayNoRoutes guards against routes that are in force late because watches are
+// cut off again and again.
+func TestCutWatchesDelayNoRoutes(t *testing.T) {
+	const limit = 2500 * time.Millisecond
+	for _, period := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 1100 * time.Millisecond} {
+		t.Run(period.String(), func(t *testing.T) {
+			simulateRoutes(t, 4, func(sim *routeSimulation) {
+				time.Sleep(2 * time.Second)
+				done := make(chan struct{})
+				defer close(done)
+				go func() {
+					for ticker := time.NewTicker(period); ; {
+						select {
+						case <-done:
+							ticker.Stop()
+							return
+						case <-ticker.C:
+							sim.store.CutWatches()
+						}
+					}
+				}()
+				for range 3 {
+					sim.writeRoutes()
+					sim.eventually(limit, "the configuration is in force", func() bool {
+						return !slices.ContainsFunc(sim.instances, func(i *edge.Instance) bool { return i.Routing.Version() < sim.routesVersion })
+					})
+				}
+			})
+		})
+	}
+}
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -55,20 +55,9 @@
 func startFaulty(t *testing.T, tb *testbed, current func() endlessAnswer) {
 	t.Helper()
 	for i := range 2 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go current().serve(c)
-			}
-		}()
+		address := startServer(t, func(c net.Conn) { current().serve(c) })
 		tb.store.Put("servers", fmt.Sprintf("faulty-%d", i), map[string]any{
-			"service": "faulty", "address": l.Addr().String(), "zone": "z0", "version": "v1", "slots": 400, "state": "ready", "born": 1,
+			"service": "faulty", "address": address, "zone": "z0", "version": "v1", "slots": 400, "state": "ready", "born": 1,
 		})
 	}
 	var routes []any
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -311,8 +312,9 @@
 	inj.disturbProxy(u.current().ID, u.proxy)
 }
 
-// upstreamLeave drains an upstream and checks that instances without faults send
-// it no requests once drainBound has passed. The upstream then restarts.
+// upstreamLeave drains an upstream, or removes its entry while it serves on, and checks that
+// instances without faults send it no requests once drainBound has passed. The upstream then
+// restarts.
 func (inj *injector) upstreamLeave() {
 	u, tb := inj.randomUpstream(), inj.testbed
 	if !u.reserve() {
@@ -320,8 +322,13 @@
 	}
 	defer u.release()
 	r := u.current()
-	inj.tracef("upstream %s leaves", r.ID)
-	tb.writeEntry(u, "draining")
+	if (slices.Index(tb.upstreams, u)+len(u.incarnations()))%2 == 0 {
+		inj.tracef("entry of upstream %s is removed", r.ID)
+		tb.store.Delete("servers", r.ID)
+	} else {
+		inj.tracef("upstream %s leaves", r.ID)
+		tb.writeEntry(u, "draining")
+	}
 	acknowledged := time.Now()
 	since := acknowledged.Add(-settleTime)
 	sleep(inj.ctx, drainBound)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -19,6 +19,16 @@
 // startEcho starts a server that sends back what it receives, and returns its
 // address.
 func startEcho(t *testing.T) string {
+	t.Helper()
+	return startServer(t, func(c net.Conn) {
+		defer c.Close()
+		_, _ = io.Copy(c, c)
+	})
+}
+
+// startServer starts a server that serves each connection with the function, and returns its
+// address.
+func startServer(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -29,10 +39,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				_, _ = io.Copy(c, c)
-			}()
+			go serve(c)
 		}
 	}()
 	return l.Addr().String()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,7 @@
 		tb.spawn(&disturbances, inj.run)
 	}
 	tb.spawn(&disturbances, func() { tb.changePeriodically(ctx) })
+	tb.spawn(&disturbances, func() { tb.cutWatchesPeriodically(ctx, rand.New(rand.NewPCG(o.Seed, 3))) })
 	tb.spawn(&observers, func() { tb.sendLoad(observeCtx) })
 	tb.spawn(&observers, func() { tb.watchVersions(observeCtx) })
 	tb.spawn(&observers, func() { tb.checkRunsPeriodically(observeCtx) })
--- a/soak/storefaults.go
+++ b/soak/storefaults.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
 	"knapweedwell/standin/platform"
@@ -56,6 +58,20 @@
 	}
 }
 
+const (
+	minWatchTime = 200 * time.Millisecond // between two moments at which waiting watches are cut off
+	maxWatchTime = 4 * time.Second
+)
+
+// cutWatchesPeriodically cuts off the waiting watches of the store until the context ends. All
+// calls are answered meanwhile, so that this excuses nothing.
+func (tb *testbed) cutWatchesPeriodically(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		sleep(ctx, minWatchTime+time.Duration(rng.Int64N(int64(maxWatchTime-minWatchTime))))
+		tb.store.CutWatches()
+	}
+}
+
 // beginStoreFault records that the store has a fault.
 func (inj *injector) beginStoreFault() {
 	tb := inj.testbed
