Count the crash of an upstream that goes dark against what waited there

Cause: only a closed or reset connection was looked into.

Ruled out: that the crashes were taken for ones with a common cause.

Change: an upstream that is silent, says nothing when asked, and is then not listed any more without having left, has crashed.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,6 +144,7 @@
 		Heartbeat: i.Settings.Routes.UpstreamHeartbeat,
 		OnChange: func(r *roster.Roster) {
 			i.Quarantine.Leaving(time.Now(), r.LeavingUpstreams())
+			i.Quarantine.Listed(time.Now(), r.Entries)
 			i.stateChanged()
 		},
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -93,7 +93,10 @@
 			return quarantine.Served
 		}
 	case broken:
-		if !t.silent.Load() && !t.rs.callerGone && t.ctx.Err() == nil && t.conn.ClosedByUpstream() {
+		if t.silent.Load() {
+			return quarantine.Silent
+		}
+		if !t.rs.callerGone && t.ctx.Err() == nil && t.conn.ClosedByUpstream() {
 			return quarantine.Broken
 		}
 	}
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -39,9 +39,13 @@
 
 // breakOff is what is known of an upstream that broke off requests.
 type breakOff struct {
-	at      time.Time
-	traits  []placedTrait // of the requests that waited
-	crashed bool
+	upstream *route.Upstream
+	at       time.Time
+	traits   []placedTrait // of the requests that waited
+	crashed  bool
+	// silent is set if no connection was closed or reset: the upstream counts as crashed once
+	// its entry is gone.
+	silent bool
 }
 
 // CrashID returns the ID of the crash of an upstream. The upper half depends on its
@@ -58,6 +62,7 @@
 	upstream    *route.Upstream
 	traits      []Trait
 	interrupt   func()
+	begunAt     time.Time
 	withdrawn   atomic.Bool
 	counted     []*suspect // whose number of running requests includes this one
 	answeringAt time.Time
@@ -71,6 +76,7 @@
 const (
 	Served Outcome = iota // the answer was received in full
 	Broken                // the upstream closed or reset the connection before its end
+	Silent                // the upstream is silent and says nothing when it is asked
 	Other                 // nothing follows about the traits or the upstream
 )
 
@@ -78,7 +84,7 @@
 // a refusal instead if it must not be sent. The function interrupt is called, without
 // blocking, if a trait is convicted while the request waits for its answer.
 func (q *Quarantine) Begin(now time.Time, u *route.Upstream, traits []Trait, interrupt func()) (*Attempt, *Refusal) {
-	a := &Attempt{quarantine: q, upstream: u, traits: traits, interrupt: interrupt}
+	a := &Attempt{quarantine: q, upstream: u, traits: traits, interrupt: interrupt, begunAt: now}
 	if len(traits) == 0 {
 		return a, nil
 	}
@@ -162,6 +168,7 @@
 		a.answeringAt = now
 		a.quarantine.mu.Lock()
 		delete(a.quarantine.waiting, a)
+		a.quarantine.endSilence(incarnationOf(a.upstream))
 		a.quarantine.mu.Unlock()
 	case now.Sub(a.answeringAt) >= settleTime:
 		a.cleared = true
@@ -229,19 +236,25 @@
 	q.mu.Lock()
 	defer q.unlock()
 	delete(q.waiting, a)
+	if o == Served {
+		q.endSilence(incarnationOf(a.upstream))
+	}
 	for _, s := range a.counted {
 		s.running--
 	}
 	a.counted = nil
-	if o != Broken {
-		return false
+	switch o {
+	case Broken:
+		return q.recordBreak(now, a, false)
+	case Silent:
+		q.recordBreak(now, a, true)
 	}
-	return q.recordBreak(now, a)
+	return false
 }
 
-// recordBreak records that an upstream broke off a request. It reports whether it is the
-// first one. The caller holds q.mu.
-func (q *Quarantine) recordBreak(now time.Time, a *Attempt) bool {
+// recordBreak records that an upstream broke off a request, or is silent. It reports whether
+// it is the first one of its kind. The caller holds q.mu.
+func (q *Quarantine) recordBreak(now time.Time, a *Attempt, silent bool) bool {
 	in := incarnationOf(a.upstream)
 	if _, known := q.leaving[in]; known {
 		return false
@@ -253,9 +266,12 @@
 		if len(q.breaks) >= maxBreaks {
 			return false
 		}
-		b = &breakOff{at: now}
+		b = &breakOff{upstream: a.upstream, at: now, silent: silent}
 		q.breaks[in] = b
 	}
+	if b.silent && !silent {
+		b.silent, first = false, true
+	}
 	for i, trait := range a.traits {
 		switch {
 		case a.survived(trait):
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -96,6 +96,14 @@
 		s.attempts[args[0]] = a
 	case "event":
 		s.attempts[args[0]].Event(now)
+	case "silent":
+		s.attempts[args[0]].End(now, quarantine.Silent)
+	case "listed":
+		entries := map[string]*route.Upstream{}
+		for _, name := range args {
+			entries[upstream(name).ID] = upstream(name)
+		}
+		q.Listed(now, entries)
 	case "break":
 		s.attempts[args[0]].End(now, quarantine.Broken)
 	case "end":
--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -15,6 +15,9 @@
 const (
 	deadlyPart  = "dead"
 	restartTime = 2 * time.Second // from the crash of an upstream to its return under a new ID
+	// An upstream that goes dark is back later, at another address, and its entry goes before.
+	darkTime      = 4500 * time.Millisecond
+	entryLifetime = 3600 * time.Millisecond // without a write of the upstream
 )
 
 // crashingFleet lets upstreams crash and return.
@@ -22,6 +25,7 @@
 	sim     *routeSimulation
 	service string
 	faults  runner.Faults
+	dark    bool // upstreams do not reset their connections when they crash
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -57,7 +61,8 @@
 	c.sim.putEntry(id, c.service, "ready")
 }
 
-// crash resets the connections of an upstream and closes its listener.
+// crash resets the connections of an upstream and closes its listener, or lets its host go
+// dark.
 func (c *crashingFleet) crash(id, h string) {
 	c.mu.Lock()
 	_, down := c.down[id]
@@ -66,17 +71,31 @@
 		c.down[id] = time.Now()
 	}
 	c.mu.Unlock()
-	if !down {
+	switch {
+	case down:
+	case c.dark:
+		c.sim.network.setCut("*", h, true)
+		c.sim.network.setCut(h, "*", true)
+		time.AfterFunc(entryLifetime, func() { c.sim.store.Delete("servers", id) })
+	default:
 		c.sim.network.resetHost(h)
 	}
 }
 
+// downTime returns the time from the crash of an upstream to its return.
+func (c *crashingFleet) downTime() time.Duration {
+	if c.dark {
+		return darkTime
+	}
+	return restartTime
+}
+
 // restart starts the upstreams again that have been down for long enough.
 func (c *crashingFleet) restart() {
 	c.mu.Lock()
 	var due []string
 	for id, at := range c.down {
-		if time.Since(at) >= restartTime {
+		if time.Since(at) >= c.downTime() {
 			due = append(due, id)
 			delete(c.down, id)
 		}
@@ -86,6 +105,9 @@
 	for _, id := range due {
 		h := c.sim.hosts[id]
 		c.sim.store.Delete("servers", id)
+		if c.dark {
+			h = fmt.Sprintf("10.6.1.%d", len(c.sim.hosts))
+		}
 		id += "r"
 		c.sim.hosts[id] = h
 		c.start(id)
@@ -143,16 +165,21 @@
 // TestDeadlyPartCrashesNoFurtherUpstreams guards against requests with one part in their
 // prompts that crash one upstream after the other for as long as they come.
 func TestDeadlyPartCrashesNoFurtherUpstreams(t *testing.T) {
-	simulateRoutes(t, 3, func(sim *routeSimulation) {
-		fleet := startCrashing(sim, "model", 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: deadlyPart})
-		fleet.checkDeadly(5, func(tr *traffic, n int, deadly bool) {
-			if deadly {
-				tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", deadlyPart)
-			} else {
-				tr.stream(n%3, "sound-"+itoa(n), "aa", "b"+itoa(n%7))
-			}
+	for _, dark := range []bool{false, true} {
+		t.Run(fmt.Sprintf("dark %t", dark), func(t *testing.T) {
+			simulateRoutes(t, 3, func(sim *routeSimulation) {
+				fleet := startCrashing(sim, "model", 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: deadlyPart})
+				fleet.dark = dark
+				fleet.checkDeadly(5, func(tr *traffic, n int, deadly bool) {
+					if deadly {
+						tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", deadlyPart)
+					} else {
+						tr.stream(n%3, "sound-"+itoa(n), "aa", "b"+itoa(n%7))
+					}
+				})
+			})
 		})
-	})
+	}
 }
 
 // Times of the traffic in which one request in deadlyIn is deadly, after warmUp ticks without.
