Do not hold the silence of a slow upstream against requests that left it before it crashed

Cause: a request that had left a silent upstream stayed in the record of that silence, which became the record of its crash when it crashed later for another reason.

Change: a broken connection after a silence begins a new record.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -270,7 +270,9 @@
 		q.breaks[in] = b
 	}
 	if b.silent && !silent {
-		b.silent, first = false, true
+		// It ran until now: what waited there before is no evidence.
+		*b = breakOff{upstream: a.upstream, at: now}
+		first = true
 	}
 	for i, trait := range a.traits {
 		switch {
