Keep the verdict of a peer while its evidence is not known here

Cause: an instance took back a verdict of a peer because the crashes that it knew itself, often one, were too few for it; the release then voided the evidence everywhere.

Evidence: in the logs each verdict is followed within 50 ms by its release at an instance that knows one or two crashes; the script verdict-of-peers failed before.

Ruled out: that evidence is lost with the killed instances: releases begin before the kill and after it, at instances that ran all the while.

Change: a verdict is reconsidered only by an instance that knows as many crashes as it is based on.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -193,10 +193,11 @@
 }
 
 // reconsider ends each first verdict whose crashes are explained by a trait with more
-// crashes, as when facts from peers arrive after it. The caller holds q.mu.
+// crashes, as when facts from peers arrive after it. A verdict of a peer stays while some of
+// the crashes that it is based on are not known here. The caller holds q.mu.
 func (q *Quarantine) reconsider(now time.Time) {
 	for _, s := range q.suspects {
-		if !s.convicted(now) || len(s.crashes) == 0 || s.verdict.Until.Sub(s.verdict.At) > verdictTime {
+		if !s.convicted(now) || len(s.crashes) < max(s.verdict.Crashes, 1) || s.verdict.Until.Sub(s.verdict.At) > verdictTime {
 			continue
 		}
 		stronger := map[uint64]bool{}
