Split what takes a peer's entries, and name the question to silent upstreams

Change: takeEntries and dropRemoved, isRunning, one step of the scripts for all ways in which an attempt ends. No change of behaviour.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -66,13 +66,13 @@
 	Log      logrus.FieldLogger
 
 	mu          sync.Mutex
-	lastAnswer  time.Time // when the store last answered
-	synced      int64     // revision up to which all changes are known
-	era         int64     // of the revision
-	outageStart time.Time // when the store stopped answering; zero while it answers
-	lastFailure time.Time // when a call last failed
-	syncedAt    time.Time // when synced was the newest revision; zero before the first list
-	silence     time.Duration
+	lastAnswer  time.Time     // when the store last answered
+	synced      int64         // revision up to which all changes are known
+	era         int64         // of the revision
+	outageStart time.Time     // when the store stopped answering; zero while it answers
+	lastFailure time.Time     // when a call last failed
+	syncedAt    time.Time     // when synced was the newest revision; zero before the first list
+	silence     time.Duration // result of Silence
 	group       background.Group
 
 	// behind is set if the changes since synced may be many: a list is shorter. Only loop
@@ -107,8 +107,8 @@
 }
 
 // Silence returns how long the store may have been away before its newest answer: the time
-// since all changes were last known. An instance that was idle or did not run in that time
-// cannot tell whether the store answered others.
+// since all changes were last known, the longest duration if they never were. An instance that
+// was idle or did not run in that time cannot tell whether the store answered others.
 func (f *Follower) Silence() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -61,7 +61,7 @@
 	if t.rs.stream.unnumbered.Load() || !t.attempt.Silent(time.Now().Add(askTimeout), maxSilence) || !t.rs.canSendElsewhere(time.Now()) {
 		return false
 	}
-	if t.attempt.Answering() && t.rs.s.runs(ctx, t.rs.choice.Upstream) {
+	if t.attempt.Answering() && t.rs.s.isRunning(ctx, t.rs.choice.Upstream) {
 		t.attempt.Heard(time.Now())
 		t.rs.s.Log.WithFields(logrus.Fields{"Upstream": t.rs.choice.Upstream.ID, "RequestID": t.rs.headers.ID}).Info("silent upstream says that it runs")
 		return false
@@ -75,9 +75,9 @@
 	return true
 }
 
-// runs reports whether an upstream answers when it is asked for its report, and has not started
+// isRunning reports whether an upstream answers when it is asked for its report, and has not started
 // again as far as is known. Several questions to one upstream at a time are one.
-func (s *Server) runs(ctx context.Context, u *route.Upstream) bool {
+func (s *Server) isRunning(ctx context.Context, u *route.Upstream) bool {
 	if listed := s.Roster().Entries[u.ID]; listed != nil && listed.Born != u.Born {
 		return false
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -96,8 +96,6 @@
 		s.attempts[args[0]] = a
 	case "event":
 		s.attempts[args[0]].Event(now)
-	case "silent":
-		s.attempts[args[0]].End(now, quarantine.Silent)
 	case "listed":
 		entries := map[string]*route.Upstream{}
 		for _, name := range args {
@@ -107,7 +105,8 @@
 	case "break":
 		s.attempts[args[0]].End(now, quarantine.Broken)
 	case "end":
-		s.attempts[args[0]].End(now, map[string]quarantine.Outcome{"served": quarantine.Served, "other": quarantine.Other}[args[1]])
+		outcomes := map[string]quarantine.Outcome{"served": quarantine.Served, "silent": quarantine.Silent, "other": quarantine.Other}
+		s.attempts[args[0]].End(now, outcomes[args[1]])
 	case "crashed":
 		q.Crashed(now, upstream(args[0]))
 	case "survived":
--- a/roster/fetch.go
+++ b/roster/fetch.go
@@ -76,16 +76,23 @@
 	if l.unlisted && f.Whole {
 		l.doubt(pointers(f.Entries))
 	}
+	l.takeEntries(now, &f)
+	l.dropRemoved(&f)
+	l.setMark(f.Mark)
+	l.revision = max(l.revision, f.Revision)
+	return true
+}
+
+// takeEntries takes the entries of a peer's answer. Those that the store does not list are
+// retained no longer than by the peer, and not taken if they are known to be gone.
+func (l *entryList) takeEntries(now time.Time, f *fetchReply) {
 	retained := f.retentions(now)
-	kept := map[string]bool{}
 	for i := range f.Entries {
 		e := &f.Entries[i]
-		kept[e.ID] = true
 		_, missing := retained[e.ID]
 		gone, _ := l.gone.holds(e)
 		switch {
 		case missing && (l.entries[e.ID] != nil || (f.Whole && gone)):
-			// The store does not list it, and its removal may be known here already.
 		case f.Whole:
 			l.put(e)
 		default:
@@ -97,13 +104,17 @@
 			l.retain(id, until)
 		}
 	}
-	// The peer has retained an entry itself before it reports the removal.
+}
+
+// dropRemoved drops the entries that a peer has removed. It has retained them itself before.
+func (l *entryList) dropRemoved(f *fetchReply) {
+	kept := map[string]bool{}
+	for i := range f.Entries {
+		kept[f.Entries[i].ID] = true
+	}
 	for id := range l.entries {
 		if (f.Whole && !kept[id]) || slices.Contains(f.Removed, id) {
 			l.deleteEntry(id, l.retains(id) || slices.Contains(f.Expired, id))
 		}
 	}
-	l.setMark(f.Mark)
-	l.revision = max(l.revision, f.Revision)
-	return true
 }
