Read the settings and fields that the new parts need

Cause: the platform's duties, the bounds of ordered upstreams, reclaimable upstreams, the limits on callers and the features of a deployment were not read. Change: the section [Duties], Features, MaxDescriptors and the costs of traffic in the settings; scaling and limits of the route table; Reclaimable of an upstream. Nothing uses them yet.

--- a/route/route.go
+++ b/route/route.go
@@ -78,6 +78,18 @@
 type Pool struct {
 	Name   string
 	Engine *Engine // nil for plain services
+	// Scaling is nil if the number of upstreams may not be changed.
+	Scaling *Scaling
+}
+
+// Scaling states within which bounds the upstreams of a pool may be ordered.
+type Scaling struct {
+	Min, Max  int           // upstreams of both kinds in one availability zone
+	StartTime time.Duration // from the order to the first request that an upstream takes
+	// ReclaimablePrice is the price of a reclaimable upstream relative to another one in the
+	// same zone; zero if there are no reclaimable ones.
+	ReclaimablePrice float64
+	ZonePrices       map[string]float64 // price of one second of an upstream, by availability zone
 }
 
 // Organisation is a customer that a route table lists.
@@ -87,9 +99,12 @@
 	HasRank bool // whether the organisation has a rank, which takes precedence over that of the route
 }
 
-// Limits are the bounds of a request.
+// Limits are the bounds of a request and of a caller's connection; zero means the default.
 type Limits struct {
-	BodyBytes int // largest body; zero means the default
+	BodyBytes     int           // largest body
+	HeaderBytes   int           // largest head
+	HeaderTimeout time.Duration // from the first byte of a head to its end
+	IdleTimeout   time.Duration // time for which a connection may be idle between two requests
 }
 
 // Table is one version of the routes. It is not changed once it is in force.
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -9,4 +9,6 @@
 	Slots   int
 	Leaving bool
 	Born    int64 // start of the incarnation in Unix milliseconds, zero if unknown
+	// Reclaimable is set if the platform may take the upstream away at any time.
+	Reclaimable bool
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"knapweedwell/inifile"
@@ -34,6 +35,8 @@
 	// Routes is set if the instance serves the routes that the platform's operator
 	// writes.
 	Routes *Routes
+	// Duties is set if the platform names duties of one instance at a time.
+	Duties *Duties
 }
 
 // Routes are the settings of an instance that serves routes.
@@ -54,8 +57,31 @@
 	// UpstreamHeartbeat is the time between two writes of an upstream to its entry in the
 	// store; zero if it is not known.
 	UpstreamHeartbeat time.Duration
-	MemoryMegabytes   int               // memory that the process may use; zero means no limit
-	Zones             map[string]string // region by availability zone
+	MemoryMegabytes   int // memory that the process may use; zero means no limit
+	MaxDescriptors    int // file descriptors that the process may have; zero means no limit
+	// Features names what the deployment asks for beyond serving routes. Unknown ones have
+	// no effect.
+	Features []string
+	// ZoneCost and RegionCost are the delays that the operator would accept to save a
+	// megabyte of traffic between availability zones, or between regions.
+	ZoneCost   time.Duration
+	RegionCost time.Duration
+	Zones      map[string]string // region by availability zone
+}
+
+// Features that a deployment may ask for.
+const (
+	// DutiesFeature means that some calls to the platform's API are the duty of one
+	// instance at a time.
+	DutiesFeature = "leader"
+	// PressureFeature means that upstreams crash if the requests that they hold exceed their
+	// memory, and that callers and upstreams may read slowly.
+	PressureFeature = "pressure"
+)
+
+// HasFeature reports whether the deployment asks for the feature.
+func (r *Routes) HasFeature(name string) bool {
+	return slices.Contains(r.Features, name)
 }
 
 // Defaults of the settings.
@@ -64,13 +90,16 @@
 	defaultMaxBodyBytes = 4 << 20
 	defaultMaxRequests  = 4000
 
-	defaultAddressLifetime = 1500 * time.Millisecond
-	defaultGracePeriod     = 30 * time.Second
-	defaultRetryRatio      = 0.1
-	defaultRetryWindow     = 10 * time.Second
-	defaultDeadline        = 2500 * time.Millisecond
-	minDeadline            = 500 * time.Millisecond
-	maxHeartbeatMillis     = 600_000
+	defaultAddressLifetime  = 1500 * time.Millisecond
+	defaultGracePeriod      = 30 * time.Second
+	defaultRetryRatio       = 0.1
+	defaultRetryWindow      = 10 * time.Second
+	defaultDeadline         = 2500 * time.Millisecond
+	minDeadline             = 500 * time.Millisecond
+	maxHeartbeatMillis      = 600_000
+	defaultZoneCostMillis   = 20  // per megabyte
+	defaultRegionCostMillis = 100 // per megabyte
+	maxCostMillis           = 3_600_000
 )
 
 // Sections of the settings.
@@ -78,6 +107,7 @@
 	instanceSection = "Instance"
 	routesSection   = "Routes"
 	zonesSection    = "Zones"
+	dutiesSection   = "Duties"
 )
 
 // Load reads the settings from a file.
@@ -103,12 +133,14 @@
 			s.read(f.NewReader(sec))
 		case routesSection:
 			s.Routes = readRoutes(f.NewReader(sec))
+		case dutiesSection:
+			s.Duties = readDuties(f.NewReader(sec))
 		case zonesSection:
 			for zone, region := range sec.Keys {
 				zones[zone] = region.Text
 			}
 		default:
-			f.NewReader(sec).AddFinding("", "unknown section; expected [%s], [%s] or [%s]", instanceSection, routesSection, zonesSection)
+			f.NewReader(sec).AddFinding("", "unknown section; expected [%s], [%s], [%s] or [%s]", instanceSection, routesSection, dutiesSection, zonesSection)
 		}
 	}
 	if s.Routes != nil {
@@ -171,6 +203,10 @@
 		ChangeDeadline:  r.Duration("ChangeDeadline", defaultDeadline, minDeadline),
 		LeavingDeadline: r.Duration("LeavingDeadline", defaultDeadline, minDeadline),
 		MemoryMegabytes: r.Int("MemoryMegabytes", 0, 0, 1<<20),
+		MaxDescriptors:  optionalInt(r, "MaxDescriptors", 0, 0, 1<<30),
+		Features:        r.Names("Features"),
+		ZoneCost:        time.Duration(r.Int("ZoneCostMillisPerMegabyte", defaultZoneCostMillis, 0, maxCostMillis)) * time.Millisecond,
+		RegionCost:      time.Duration(r.Int("RegionCostMillisPerMegabyte", defaultRegionCostMillis, 0, maxCostMillis)) * time.Millisecond,
 	}
 	// The platform may name no heartbeat; the value is empty then.
 	if r.Text("UpstreamHeartbeatMillis", "") != "" {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -53,3 +53,26 @@
 		}
 	}
 }
+
+// TestDuties reads the section of the duties. It guards against settings that are refused
+// because the platform rendered a value that the deployment does not have as an empty one.
+func TestDuties(t *testing.T) {
+	const text = "[Instance]\nName = a\nRegion = r\nZone = z\nCaller = 10.0.0.1:1\nPeer = 10.0.0.1:2\nOperator = 10.0.0.1:3\nPlatform = 10.0.0.9:1\n" +
+		"[Duties]\nAddress = 10.0.0.9:2\n"
+	s, err := Parse("x.ini", text+"Names = usage,scale\nCallsPerSecond = 50.0\nLeaseMillis = 2000\nThawMillis = 300\nUsageWindowSeconds = 4\nUsageTolerance = 0.1\nUsageDeadlineSeconds = 9\n")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Duties, &Duties{
+		Address: "10.0.0.9:2", Names: []string{UsageDuty, ScalingDuty}, CallsPerSecond: 50, Lease: 2 * time.Second, Thaw: 300 * time.Millisecond,
+		UsageWindow: 4 * time.Second, UsageTolerance: 0.1, UsageDeadline: 9 * time.Second,
+	})
+	assert.Assert(t, s.Duties.Has(ScalingDuty))
+	s, err = Parse("x.ini", text+"Names =\nCallsPerSecond =\nLeaseMillis =\nThawMillis =\nUsageWindowSeconds =\nUsageTolerance =\nUsageDeadlineSeconds =\n")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Duties.Lease, 3*time.Second)
+	assert.Assert(t, !s.Duties.Has(UsageDuty))
+	_, err = Parse("x.ini", text+"LeaseMillis = 10\n")
+	assert.ErrorContains(t, err, "LeaseMillis")
+	s, err = Parse("x.ini", text[:len(text)-len("[Duties]\nAddress = 10.0.0.9:2\n")])
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Duties.Has(UsageDuty))
+}
