Read the speed that upstreams state and use it in choosing

Cause: a load header with a fourth figure, the time that work takes on the machine now, was dropped as a whole, and nothing told a slow machine before its requests were late.

The fourth, in percent, is kept for each upstream with its age. What an old value predicts is learned by pool from the differences of earlier values, by the time between them. The expected slowdown scales the predicted times to the first token and of service; relative to the upstream's own mean it scales the predicted gaps, whose ratio holds the lasting part already. The value stays local: earlier builds reject datagrams with further bytes, and it is old after some requests.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -135,7 +135,8 @@
 		return
 	}
 	a.state.pending[a.rank] -= a.choice.Missing
-	stats.observeFirstToken(elapsedSeconds, a.choice.Missing, a.choice.Pending == 0)
+	// The pool's times are those of a machine of the usual speed.
+	stats.observeFirstToken(elapsedSeconds/a.choice.usualSlowdown(), a.choice.Missing, a.choice.Pending == 0)
 	predictedSeconds := a.choice.Predicted.Seconds() + firstTokenMarginSeconds
 	a.state.observeSlowness(now, (elapsedSeconds+firstTokenMarginSeconds)/predictedSeconds*a.state.slowness(now))
 }
@@ -183,11 +184,12 @@
 		s.receivedAt = now
 		s.observeOutcome(now, false)
 		s.clearExclusion()
-		stats.observeServiceTime(elapsedSeconds)
+		stats.observeServiceTime(elapsedSeconds / a.choice.usualSlowdown())
 		stats.observeGaps(now, s, &a.gaps)
 		stats.reservation.observeGap(s, a.gaps.longest)
 		if a.pool.Engine == nil {
-			s.observeSlowness(now, (elapsedSeconds+serviceMarginSeconds)/(stats.serviceSeconds+serviceMarginSeconds))
+			expected := stats.serviceSeconds * a.choice.usualSlowdown()
+			s.observeSlowness(now, (elapsedSeconds+serviceMarginSeconds)/(expected+serviceMarginSeconds))
 		}
 	case Rejected:
 		s.receivedAt = now
--- a/balancer/gapratio.go
+++ b/balancer/gapratio.go
@@ -67,7 +67,7 @@
 }
 
 // gapRatio returns the ratio of the upstream's gap between events to the mean gap
-// of its pool, as the weighted geometric mean of the ratios observed by this
+// of its pool, including the lasting part of the slowdown that it states, as the weighted geometric mean of the ratios observed by this
 // instance and its peers. Ratios whose weights sum to less than one are drawn
 // towards a ratio of one, so old ones count little.
 func (s *state) gapRatio(now time.Time) float64 {
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -74,12 +74,15 @@
 	Running       int           // requests known to run at the upstream
 	Pending       int           // tokens known to be read there before those of the request
 	PeersAge      time.Duration // age of the oldest counts of a peer that were used
+
+	slowdown float64 // expected slowdown of the upstream, as in speedStats
 }
 
 // Picker chooses upstreams. The exported fields are set before its first call.
 type Picker struct {
 	Zone    string
 	Regions map[string]string // regions by zone
+	Random  func() float64    // numbers from 0 to 1 that break ties; nil means the shared source
 
 	mu             sync.Mutex
 	states         map[string]*state
@@ -140,7 +143,7 @@
 		c, cost := p.score(now, u, s, r, slices.Index(preferred[:], u.ID))
 		running += c.Running
 		cost += reservationCost(r, c, stats.reservation.holds(s))
-		cost += rand.Float64() * (jitter.Seconds() + relativeJitter*math.Abs(cost))
+		cost += p.random() * (jitter.Seconds() + relativeJitter*math.Abs(cost))
 		switch {
 		case now.Before(s.excludedUntil):
 			if cost < excludedCost {
@@ -168,7 +171,9 @@
 		c.Running = max(c.Running, s.reportedRunning+s.reportedWaiting)
 	}
 	cost := p.networkDelaySeconds(u.Zone)
-	slow := s.slowness(now)
+	slowdown, relative := stats.speeds.slowdowns(now, &s.speed)
+	c.slowdown = slowdown
+	slow := slowdown * s.slowness(now)
 	if r.Pool.Engine != nil {
 		c.Missing = s.cache.missing(r.Prompt)
 		toRead := c.Missing
@@ -181,7 +186,7 @@
 		cost += stats.baseSeconds*slow + read
 		c.Predicted = seconds(cost)
 		cost += (readWeight - 1) * stats.perTokenSeconds * float64(toRead)
-		cost += missedGapCost.Seconds() * stats.gapMissShare(r.GapAim, s.gapRatio(now))
+		cost += missedGapCost.Seconds() * stats.gapMissShare(r.GapAim, relative*s.gapRatio(now))
 	} else {
 		cost += stats.serviceSeconds * slow
 		c.Predicted = seconds(cost)
@@ -202,6 +207,13 @@
 	return c, cost + failureCost.Seconds()*s.decayedFailureShare(now)
 }
 
+func (p *Picker) random() float64 {
+	if p.Random != nil {
+		return p.Random()
+	}
+	return rand.Float64()
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -192,7 +192,7 @@
 // BenchmarkChoose times a choice among up to 450 upstreams of one model, which is
 // a pool of the target size.
 func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{9, 90, 450} {
+	for _, n := range []int{9, 90, 300, 450} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			us, now, p := upstreams(n), time.Unix(1000, 0), newPicker()
 			for i := range b.N {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -49,6 +49,8 @@
 	excludedUntil time.Time
 
 	pausedUntil time.Time // the upstream wants no request before
+
+	speed speed // as stated in answers
 }
 
 func newState(id string, born int64) *state {
@@ -168,6 +170,7 @@
 	requests    int
 
 	reservation reservation
+	speeds      speedStats
 
 	hasGap           bool
 	logGap           float64   // weighted mean of the natural logarithms of the streams' median gaps in seconds
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -144,6 +144,7 @@
 func (t *transfer) observe(headers platform.AnswerHeaders) {
 	if headers.HasLoad {
 		t.attempt.Load(time.Now(), headers.Running, headers.Waiting)
+		t.attempt.Slowdown(time.Now(), headers.Slowdown)
 	}
 	if headers.RetryAfter > 0 && t.attempt.Pause(time.Now(), headers.RetryAfter) {
 		t.rs.logPause(headers.RetryAfter)
