Split pools strictly between long prompts and streams with short gaps

Cause: an engine reads 2,000 tokens of prompts in each step between the tokens of its streams. The soft reservation costs less than reading a shared part again, so that long prompts were read beside streams with a short target, and reserved upstreams were crowded.

Change: where a feature asks for it or upstreams state their speed, the number of reserved upstreams follows from the streams, the tokens that both sides read and the learned times of a token and a step. The reserved upstreams are spread over the zones. Long prompts go there and the streams elsewhere only when a side is full or gone. Prompts are spread while upstreams are idle. A pool without room for both sides is not split; the soft reservation holds there.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -96,7 +96,9 @@
 		return a
 	}
 	a.shortestGap = r.ShortestGap
-	p.poolStats(r.Pool.Name).reservation.begin(r)
+	stats := p.poolStats(r.Pool.Name)
+	stats.reservation.begin(r)
+	stats.split.begin(now, r, c.Missing)
 	a.tokens = r.Prompt.Tokens + r.Prompt.MaxOutputTokens
 	s.tokens += a.tokens
 	s.pending[a.rank] += c.Missing
@@ -186,6 +188,7 @@
 		s.clearExclusion()
 		stats.observeServiceTime(elapsedSeconds / a.choice.usualSlowdown())
 		stats.observeGaps(now, s, &a.gaps)
+		stats.split.observeGaps(s, &a.gaps, stats.reservation.target, eventTokens(a.pool), a.choice.usualSlowdown())
 		stats.reservation.observeGap(s, a.gaps.longest)
 		if a.pool.Engine == nil {
 			expected := stats.serviceSeconds * a.choice.usualSlowdown()
--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -27,8 +28,19 @@
 	event    int           // tokens of an event
 	length   time.Duration
 	classes  []loadClass
+
+	perStream   time.Duration // added to a step for each stream
+	instances   int           // they report to each other every reportPeriod
+	strict      bool          // whether the feature is set that asks for the strict split
+	statesSpeed bool          // whether answers state the slowdown of the engine
+	seeds       int           // plays with different arrivals
+	speedSpread float64       // standard deviation of the logarithm of the slowdown of an engine
+	speedPeriod time.Duration // time for which a slowdown lasts
 }
 
+// reportPeriod is the time between two reports of an instance of the model to the others.
+const reportPeriod = 200 * time.Millisecond
+
 type loadClass struct {
 	name               string
 	perSecond          float64
@@ -39,7 +51,9 @@
 	promptTokens       int // beyond the shared part
 	outputTokens       int
 	gap                time.Duration
-	onTime             float64 // share of the streams without a longer gap
+	onTime             float64       // share of the streams without a longer gap, and in target
+	aim                time.Duration // target for the time to the first event; zero without one
+	rank               int
 }
 
 func readLoad(t *testing.T, path string) loadScript {
@@ -58,11 +72,15 @@
 				burstFactor: r.Float("BurstFactor", 1, 0, 100), sharedTokens: count("SharedTokens"), sharedParts: count("SharedParts"),
 				promptTokens: count("PromptTokens"), outputTokens: count("OutputTokens"),
 				gap: time.Duration(count("GapMillis")) * time.Millisecond, onTime: r.Float("OnTime", 0, 0, 1),
+				aim: time.Duration(count("AimMillis")) * time.Millisecond, rank: count("Rank"),
 			})
 		} else {
 			l.engines, l.slots, l.event, l.chunk = count("Count"), count("Slots"), count("EventTokens"), count("ChunkTokens")
 			l.step, l.readRate = time.Duration(count("StepMicros"))*time.Microsecond, r.Float("ReadTokensPerMilli", 1, 0.1, 1e4)
 			l.length = seconds("Seconds")
+			l.perStream, l.instances, l.strict = time.Duration(count("StreamMicros"))*time.Microsecond, r.Int("Instances", 1, 1, 100), count("Strict") > 0
+			l.statesSpeed, l.seeds = count("StatesSpeed") > 0, r.Int("Seeds", 1, 1, 100)
+			l.speedSpread, l.speedPeriod = r.Float("SpeedSpread", 0, 0, 1), seconds("SpeedSeconds")
 		}
 		r.Finish()
 	}
@@ -77,7 +95,9 @@
 	unread  int // tokens of the prompt
 	tokens  int // tokens produced
 	lastAt  time.Time
+	sentAt  time.Time
 	late    bool
+	engine  *modelEngine
 }
 
 // modelEngine produces a token of each stream in a step, and reads one piece of one
@@ -88,6 +108,18 @@
 	queue    []*modelStream // not yet in the batch
 	batch    []*modelStream
 	nextAt   time.Time // end of the current step
+	number   uint64
+}
+
+// slowdown returns the time that work takes at a time, relative to the usual time: half of
+// its logarithm lasts, the other half is new in each period.
+func (e *modelEngine) slowdown(l *loadScript, now time.Time) float64 {
+	if l.speedSpread == 0 {
+		return 1
+	}
+	lasting := rand.New(rand.NewPCG(e.number, 1)).NormFloat64()
+	passing := rand.New(rand.NewPCG(e.number, uint64(now.UnixNano()/int64(l.speedPeriod)))).NormFloat64()
+	return math.Exp(l.speedSpread * (lasting + passing) / math.Sqrt2)
 }
 
 // begin starts a step and returns its end.
@@ -95,16 +127,19 @@
 	for len(e.queue) > 0 && len(e.batch) < l.slots {
 		e.batch, e.queue = append(e.batch, e.queue[0]), e.queue[1:]
 	}
-	took := l.step
+	took := l.step + time.Duration(len(e.batch))*l.perStream
+	var first *modelStream // whose prompt is read
 	for _, s := range e.batch {
-		if s.unread > 0 {
-			n := min(s.unread, l.chunk)
-			s.unread -= n
-			took += time.Duration(float64(n) / l.readRate * float64(time.Millisecond))
-			break
+		if s.unread > 0 && (first == nil || s.class.rank < first.class.rank) {
+			first = s
 		}
 	}
-	e.nextAt = now.Add(took)
+	if first != nil {
+		n := min(first.unread, l.chunk)
+		first.unread -= n
+		took += time.Duration(float64(n) / l.readRate * float64(time.Millisecond))
+	}
+	e.nextAt = now.Add(time.Duration(float64(took) * e.slowdown(l, now)))
 }
 
 // end ends a step and returns the streams that have ended.
@@ -129,6 +164,11 @@
 	s.tokens++
 	if s.tokens == 1 {
 		s.attempt.First(now)
+		if l.statesSpeed {
+			s.attempt.Load(now, len(s.engine.batch), len(s.engine.queue))
+			s.attempt.Slowdown(now, s.engine.slowdown(l, now))
+		}
+		s.late = s.class.aim > 0 && now.Sub(s.sentAt) > s.class.aim
 		s.lastAt = now
 	}
 	if s.tokens%l.event == 0 {
@@ -147,6 +187,9 @@
 		t.Run(strings.TrimSuffix(filepath.Base(path), ".ini"), func(t *testing.T) {
 			l := readLoad(t, path)
 			onTime, total := l.play()
+			if l.strict || l.statesSpeed {
+				l.checkLevels(t, onTime, total)
+			}
 			for _, c := range l.classes {
 				share := float64(onTime[c.name]) / float64(total[c.name])
 				t.Logf("%s: %.3f of %d on time", c.name, share, total[c.name])
@@ -156,6 +199,22 @@
 	}
 }
 
+// maxLevelLoss is the share of its requests that a class may lose by a change.
+const maxLevelLoss = 0.03
+
+// checkLevels plays the load without the feature and without stated speeds, as before the
+// strict split, and checks that no class is served worse with them.
+func (l loadScript) checkLevels(t *testing.T, onTime, total map[string]int) {
+	t.Helper()
+	l.strict, l.statesSpeed = false, false
+	before, beforeTotal := l.play()
+	for _, c := range l.classes {
+		old, share := float64(before[c.name])/float64(beforeTotal[c.name]), float64(onTime[c.name])/float64(total[c.name])
+		t.Logf("%s: %.3f on time before", c.name, old)
+		assert.Check(t, share >= old-maxLevelLoss, "%s: %.3f on time, %.3f before", c.name, share, old)
+	}
+}
+
 // arrival is a request of a load.
 type arrival struct {
 	at    time.Time
@@ -182,16 +241,30 @@
 // play returns the streams on time and all streams, by class.
 func (l *loadScript) play() (onTime, total map[string]int) {
 	onTime, total = map[string]int{}, map[string]int{}
-	rng := rand.New(rand.NewPCG(1, 2))
+	for seed := range l.seeds {
+		l.playSeed(uint64(seed+1), onTime, total)
+	}
+	return onTime, total
+}
+
+// playSeed plays the load with arrivals by a seed.
+func (l *loadScript) playSeed(seed uint64, onTime, total map[string]int) {
+	rng := rand.New(rand.NewPCG(seed, 2))
 	now := time.Unix(1000, 0)
-	pool := &route.Pool{Name: "model", Engine: &route.Engine{MemoryTokens: 500000}}
-	p := New("z", map[string]string{"z": "r"})
+	pool := &route.Pool{Name: "model", Engine: &route.Engine{MemoryTokens: 500000, EventTokens: l.event}}
+	pickers := make([]*Picker, l.instances)
+	for i := range pickers {
+		pickers[i] = New("z", map[string]string{"z": "r"})
+		pickers[i].Strict = l.strict
+		pickers[i].Random = rand.New(rand.NewPCG(3, uint64(i))).Float64
+	}
+	reportAt := now.Add(reportPeriod)
 	engines := make([]*modelEngine, l.engines)
 	byID := map[string]*modelEngine{}
 	var upstreams []*route.Upstream
 	for i := range engines {
-		u := &route.Upstream{ID: "u-" + string(rune('a'+i)), Pool: "model", Zone: "z", Slots: l.slots}
-		engines[i] = &modelEngine{upstream: u, cached: map[uint64]bool{}}
+		u := &route.Upstream{ID: fmt.Sprintf("u-%02d", i), Pool: "model", Zone: "z", Slots: l.slots}
+		engines[i] = &modelEngine{upstream: u, cached: map[uint64]bool{}, number: uint64(i)}
 		byID[u.ID] = engines[i]
 		upstreams = append(upstreams, u)
 	}
@@ -210,17 +283,24 @@
 			}
 			e.continueOrRest(l)
 		}
-		s := &modelStream{class: a.class}
+		for ; !reportAt.After(a.at); reportAt = reportAt.Add(reportPeriod) {
+			exchangeReports(reportAt, pickers)
+		}
+		s := &modelStream{class: a.class, sentAt: a.at}
+		p := pickers[0]
+		if l.instances > 1 {
+			p = pickers[rng.IntN(l.instances)]
+		}
 		part := uint64(rng.IntN(a.class.sharedParts)) + uint64(a.class.sharedParts)<<32
 		prompt := &request.Prompt{
 			Tokens: a.class.sharedTokens + a.class.promptTokens, MaxOutputTokens: a.class.outputTokens,
 			Parts: []request.Part{{ID: part, Tokens: a.class.sharedTokens}, {ID: rng.Uint64(), Tokens: a.class.promptTokens}},
 		}
-		r := Request{Pool: pool, Prompt: prompt, GapAim: a.class.gap, ShortestGap: a.class.gap == shortest && shortest < longest}
+		r := Request{Pool: pool, Prompt: prompt, Rank: a.class.rank, GapAim: a.class.gap, ShortestGap: a.class.gap == shortest && shortest < longest}
 		c, _ := p.Choose(a.at, upstreams, r)
 		s.attempt = p.Begin(a.at, r, c)
 		e := byID[c.Upstream.ID]
-		s.unread = prompt.Tokens
+		s.engine, s.unread = e, prompt.Tokens
 		if e.cached[part] {
 			s.unread = a.class.promptTokens
 		}
@@ -230,7 +310,19 @@
 			e.begin(l, a.at)
 		}
 	}
-	return onTime, total
+}
+
+// exchangeReports sends the reports of each instance to all others.
+func exchangeReports(now time.Time, pickers []*Picker) {
+	memory := func(string) (int, bool) { return 500000, true }
+	for i, from := range pickers {
+		reports, placements := from.Reports(now)
+		for j, to := range pickers {
+			if i != j {
+				to.ApplyReport(now, fmt.Sprint(i), reports, placements, memory)
+			}
+		}
+	}
 }
 
 // continueOrRest starts the next step, or none if there is nothing to do.
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -83,6 +83,12 @@
 	Zone    string
 	Regions map[string]string // regions by zone
 	Random  func() float64    // numbers from 0 to 1 that break ties; nil means the shared source
+	// Strict asks for the strict split in all pools of engines; it also applies to pools
+	// whose upstreams state their speed.
+	Strict bool
+	// OnSplit is called after changes of a split, at most once a second for a pool. It may be
+	// nil.
+	OnSplit func(SplitState)
 
 	mu             sync.Mutex
 	states         map[string]*state
@@ -120,17 +126,28 @@
 // is chosen only if there is no other; one that is paused is never chosen.
 func (p *Picker) Choose(now time.Time, candidates []*route.Upstream, r Request) (Choice, bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	c := p.choose(now, candidates, r)
+	split, changed := p.splitChange(now, r.Pool.Name)
+	p.mu.Unlock()
+	if changed && p.OnSplit != nil {
+		p.OnSplit(split)
+	}
+	return c, c.Upstream != nil
+}
+
+// choose returns the choice, one without an upstream if there is none. The caller holds p.mu.
+func (p *Picker) choose(now time.Time, candidates []*route.Upstream, r Request) Choice {
 	p.sweep(now)
 	stats := p.poolStats(r.Pool.Name)
 	lowest := stats.observeRank(now, r.Rank, r.LowestRank)
+	strict := p.strict(r.Pool, stats) && p.updateSplit(now, stats, candidates)
 	if r.Pool.Engine != nil {
 		p.updateReservation(now, &stats.reservation, candidates)
 	}
 	candidates = p.unpaused(now, candidates)
 	var preferred [preferredCount]string
-	if r.Pool.Engine != nil && !p.anyHolds(candidates, r.Prompt) {
-		preferred = p.preferredByHash(now, candidates, r)
+	if r.Pool.Engine != nil && !p.anyHolds(candidates, r, stats, strict) {
+		preferred = p.preferredByHash(now, candidates, r, stats, strict)
 	}
 	var best, excluded Choice
 	bestCost, excludedCost := math.Inf(1), math.Inf(1)
@@ -142,7 +159,11 @@
 		s := p.state(now, u)
 		c, cost := p.score(now, u, s, r, slices.Index(preferred[:], u.ID))
 		running += c.Running
-		cost += reservationCost(r, c, stats.reservation.holds(s))
+		if strict {
+			cost += stats.splitCost(r, c, stats.split.holds(s))
+		} else {
+			cost += reservationCost(r, c, stats.reservation.holds(s))
+		}
 		cost += p.random() * (jitter.Seconds() + relativeJitter*math.Abs(cost))
 		switch {
 		case now.Before(s.excludedUntil):
@@ -158,7 +179,7 @@
 	}
 	best.HasLowestRank = lowest
 	stats.reservation.observePool(running)
-	return best, best.Upstream != nil
+	return best
 }
 
 // score returns the choice of an upstream and its cost in seconds. The position of the
@@ -232,14 +253,15 @@
 }
 
 // anyHolds reports whether a candidate is known to hold the shared parts of the
-// prompt. It is true for a prompt without shared parts.
-func (p *Picker) anyHolds(candidates []*route.Upstream, prompt *request.Prompt) bool {
-	shared := prompt.Shared()
+// prompt. It is true for a prompt without shared parts. In a strict split only the
+// upstreams on the side of the request count.
+func (p *Picker) anyHolds(candidates []*route.Upstream, r Request, stats *poolStats, strict bool) bool {
+	shared := r.Prompt.Shared()
 	if len(shared) == 0 {
 		return true
 	}
 	for _, u := range candidates {
-		if s := p.states[u.ID]; s != nil && s.born == u.Born && s.cache.holds(shared) {
+		if s := p.states[u.ID]; s != nil && s.born == u.Born && s.cache.holds(shared) && (!strict || stats.onSide(r, s)) {
 			return true
 		}
 	}
@@ -252,15 +274,15 @@
 // restart. There are preferredCount of them so that the less busy one can be
 // chosen.
 // They are not reserved upstreams, unless the request is one of those for which these
-// are reserved.
-func (p *Picker) preferredByHash(now time.Time, candidates []*route.Upstream, r Request) [preferredCount]string {
+// are reserved. In a strict split they are on the side of the request.
+func (p *Picker) preferredByHash(now time.Time, candidates []*route.Upstream, r Request, stats *poolStats, strict bool) [preferredCount]string {
 	shared := r.Prompt.Shared()
 	part := shared[len(shared)-1].ID
 	var best [preferredCount]string
 	var top [preferredCount]uint64
 	for _, u := range candidates {
 		s := p.state(now, u)
-		if !r.ShortestGap && p.poolStats(r.Pool.Name).reservation.holds(s) {
+		if (!strict && !r.ShortestGap && stats.reservation.holds(s)) || (strict && !stats.onSide(r, s)) {
 			continue
 		}
 		id, h := u.ID, mix(s.hash^part)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -50,11 +50,12 @@
 
 	pausedUntil time.Time // the upstream wants no request before
 
-	speed speed // as stated in answers
+	speed    speed   // as stated in answers
+	splitKey float64 // position in the order of the split
 }
 
 func newState(id string, born int64) *state {
-	return &state{born: born, hash: xxhash.Sum64String(id), peers: map[string]Counts{}, peerGapRatios: map[string]gapRatio{}}
+	return &state{born: born, hash: xxhash.Sum64String(id), peers: map[string]Counts{}, peerGapRatios: map[string]gapRatio{}, splitKey: math.Inf(1)}
 }
 
 // Counts are the numbers of one instance's requests at an upstream.
@@ -171,6 +172,7 @@
 
 	reservation reservation
 	speeds      speedStats
+	split       split
 
 	hasGap           bool
 	logGap           float64   // weighted mean of the natural logarithms of the streams' median gaps in seconds
@@ -191,7 +193,10 @@
 )
 
 func newPoolStats() *poolStats {
-	return &poolStats{perTokenSeconds: initialPerTokenSeconds, baseSeconds: initialBaseSeconds, serviceSeconds: initialServiceSeconds, reservation: reservation{missed: initialMissedShare}}
+	return &poolStats{
+		perTokenSeconds: initialPerTokenSeconds, baseSeconds: initialBaseSeconds, serviceSeconds: initialServiceSeconds,
+		reservation: reservation{missed: initialMissedShare}, split: split{missed: initialMissedShare, stepTime: initialStepSeconds},
+	}
 }
 
 // updateQuantile moves an estimate towards the quantile q of the observations, by
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,7 +84,7 @@
 	i.store = platform.New(i.Settings.Platform, i.Dial)
 	i.connections = &httpwire.ConnPool{Dial: i.Dial}
 	i.Quarantine = &quarantine.Quarantine{Log: i.Log}
-	i.picker = balancer.New(i.Settings.Zone, i.Settings.Routes.Zones)
+	i.buildPlacing()
 	i.buildMembership()
 	i.Limits = &ratelimit.Limits{Self: i.Settings.Name, Regions: i.Settings.Routes.Zones, Members: i.Heartbeats.Members, Log: i.Log}
 	i.buildState()
--- a/route/route.go
+++ b/route/route.go
@@ -71,6 +71,7 @@
 type Engine struct {
 	Slots        int // largest number of requests that one engine runs at once
 	MemoryTokens int // cache capacity of one engine
+	EventTokens  int // tokens of an event of a stream; zero if it is not stated
 }
 
 // Pool is a group of upstreams that serve the same requests, in any region. The
