--- a/soak/node.go
+++ b/soak/node.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +15,7 @@
 
 const (
 	gracePeriod     = 8 * time.Second // from a stop signal to the kill
-	memoryMegabytes = 284             // of each instance
+	memoryMegabytes = 284             // of each instance, unless a test states another number
 )
 
 // Ports of an instance. Each instance has its own loopback address, so the ports
@@ -31,11 +32,15 @@
 // node is one instance: its process, which may be started several times, and the
 // proxies in front of it and of its store.
 type node struct {
-	name      string
-	host      string
-	zone      string
-	program   string
-	dir       string
+	name    string
+	host    string
+	zone    string
+	program string
+	dir     string
+
+	memoryMegabytes int // in the settings
+	maxDescriptors  int // in the settings; zero means none
+
 	store     *Proxy         // in front of the platform's store
 	peers     *Proxy         // in front of the peer address
 	callers   *Proxy         // in front of the caller address
@@ -95,6 +100,7 @@
 RetryWindow = 10s
 RetrySlack = 50
 MemoryMegabytes = %d
+MaxDescriptors = %s
 
 [Zones]
 z0 = r0
@@ -106,9 +112,13 @@
 // addresses separated by commas.
 func (n *node) writeSettings(seeds string, lifetime time.Duration) error {
 	region := map[string]string{"z0": "r0", "z1": "r0", "z2": "r1"}[n.zone]
+	descriptors := ""
+	if n.maxDescriptors > 0 {
+		descriptors = strconv.Itoa(n.maxDescriptors)
+	}
 	text := fmt.Sprintf(settingsText, n.name, region, n.zone, n.address(callerPort), n.peers.Address(), n.address(peerPort),
 		n.address(operatorPort), n.store.Address(), seeds, n.address(readinessPort), n.address(directoryPort), n.datagrams.Address(),
-		n.address(exchangePort), lifetime, gracePeriod, memoryMegabytes)
+		n.address(exchangePort), lifetime, gracePeriod, n.memoryMegabytes, descriptors)
 	return errors.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600), "write settings")
 }
 
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -28,6 +29,10 @@
 	Program   string    // path of the daemon
 	Dir       string    // directory for logs and settings
 	Out       io.Writer // destination of the trace
+	// MemoryMegabytes and MaxDescriptors are stated in the settings of each instance; zero
+	// means the default, for descriptors that no number is stated.
+	MemoryMegabytes int
+	MaxDescriptors  int
 }
 
 // Violation is one observed breach of a promise.
@@ -107,6 +112,7 @@
 		n := &node{
 			name: fmt.Sprintf("entry-%d", i+1), host: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, o.Seed%250, i+1),
 			zone: fmt.Sprintf("z%d", i%3), program: o.Program, dir: o.Dir, onExit: tb.processExited,
+			memoryMegabytes: cmp.Or(o.MemoryMegabytes, memoryMegabytes), maxDescriptors: o.MaxDescriptors,
 		}
 		tb.nodes = append(tb.nodes, n)
 		if err := n.startProxies(address); err != nil {
