Bound what clients take before their requests run

Cause: package net/http keeps each unfinished head, up to 64 KB and more when parsed, and no one bounded how many there are. A frame of a peer could be 16 MB before Hello, and connections took all descriptors.

Change: package intake counts the bytes of unfinished heads and frames against shares of MemoryMegabytes, and the connections of each port against shares of MemoryMegabytes and MaxDescriptors. The largest unfinished head, the connection that has waited longest for its first head, and the oldest idle one give way; a request in progress never does. Package webserver collects and checks each head itself and hands it to net/http when it is complete. limits.max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration apply at all HTTP ports where they are stricter. A peer's first message is 4 KB at most; 256 requests of one peer are handled at once. The Go runtime may use 60% of the memory, 70% before: with the program's own pages the process came to 72 of 72 MB allowed.

--- a/cmd/knapweedwelld/main.go
+++ b/cmd/knapweedwelld/main.go
@@ -30,10 +30,12 @@
 
 	// keepAliveIdle is the time without traffic after which a connection is
 	// probed, and the time between probes.
-	keepAliveIdle        = time.Second
-	keepAliveCount       = 3               // unanswered probes after which a connection is closed
-	unackedTimeout       = 3 * time.Second // limit for sent bytes to be acknowledged
-	runtimeMemoryPercent = 70              // part of MemoryMegabytes that the Go runtime may use
+	keepAliveIdle  = time.Second
+	keepAliveCount = 3               // unanswered probes after which a connection is closed
+	unackedTimeout = 3 * time.Second // limit for sent bytes to be acknowledged
+	// runtimeMemoryPercent is the part of MemoryMegabytes that the Go runtime may use. With
+	// the program's own pages, about 10 MB, the process stays under 75%.
+	runtimeMemoryPercent = 60
 	settingsPollPeriod   = 2 * time.Second
 	megabyte             = int64(1) << 20
 )
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -22,11 +22,13 @@
 // Run starts listening.
 func (d *directory) Run(*kernel.Kernel) error {
 	i := d.instance
-	d.readiness = &webserver.Server{Address: i.Settings.Routes.Readiness, Handler: platform.ReadinessHandler(i.Live), Listen: i.Listen}
+	d.readiness = i.server(readinessPort, i.Settings.Routes.Readiness)
+	d.readiness.Handler = platform.ReadinessHandler(i.Live)
 	if err := d.readiness.Run(); err != nil {
 		return err
 	}
-	d.addresses = &webserver.Server{Address: i.Settings.Routes.Directory, Handler: platform.AddressHandler(d.list), Listen: i.Listen}
+	d.addresses = i.server(addressesPort, i.Settings.Routes.Directory)
+	d.addresses.Handler = platform.AddressHandler(d.list)
 	return d.addresses.Run()
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,6 +71,7 @@
 	connections *httpwire.ConnPool
 	picker      *balancer.Picker
 	metrics     *metric.Registry
+	clients     *clients
 	started     time.Time
 	routes      atomic.Pointer[setting.Routes] // settings in force; Reload replaces them
 }
@@ -82,7 +83,8 @@
 	i.kernel = kernel.New()
 	i.metrics = metric.New()
 	i.store = platform.New(i.Settings.Platform, i.Dial)
-	i.connections = &httpwire.ConnPool{Dial: i.Dial}
+	i.buildClients()
+	i.connections = &httpwire.ConnPool{Dial: (&limitedDialer{dial: i.Dial, limit: i.clients.limits.Upstreams}).Dial}
 	i.Quarantine = &quarantine.Quarantine{Log: i.Log}
 	i.picker = balancer.New(i.Settings.Zone, i.Settings.Routes.Zones)
 	i.buildMembership()
@@ -119,7 +121,7 @@
 		Operator:    s.Operator,
 		Exchange:    s.Routes.Exchange,
 	}
-	i.Peers = &peer.Node{Name: s.Name, Address: s.Peer, Bind: s.PeerBind, Key: s.PeerKey, Dial: i.Dial, Listen: i.Listen, Log: i.Log}
+	i.Peers = &peer.Node{Name: s.Name, Address: s.Peer, Bind: s.PeerBind, Key: s.PeerKey, Dial: i.Dial, Listen: i.Listen, Log: i.Log, Port: i.clients.ports[peersPort], Budget: i.clients.frames}
 	i.Heartbeats = &heartbeat.Service{Self: self, Seeds: s.Seeds, Peers: i.Peers, Platform: i.store, Log: i.Log}
 	// Here the revision of the heartbeat is the version of the route table.
 	i.Heartbeats.Revision = func() int64 { return i.Routing.Version() }
@@ -238,6 +240,10 @@
 		Check:            i.Check,
 		Log:              i.Log,
 		Listen:           i.Listen,
+		HeadLimits:       i.headLimits,
+		Heads:            i.clients.heads,
+		Port:             i.clients.ports[callersPort],
+		Drops:            i.clients.drops,
 	}
 	i.Directory = &directory{instance: i}
 	i.Operator = &operatorServer{instance: i}
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -24,7 +24,8 @@
 	m := mux.NewRouter()
 	m.HandleFunc("/metrics", o.metrics).Methods(http.MethodGet)
 	m.HandleFunc("/status", o.status).Methods(http.MethodGet)
-	o.server = &webserver.Server{Address: o.instance.Settings.Operator, Handler: m, Listen: o.instance.Listen}
+	o.server = o.instance.server(operatorsPort, o.instance.Settings.Operator)
+	o.server.Handler = m
 	return o.server.Run()
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,6 +24,7 @@
 	"knapweedwell/budget"
 	"knapweedwell/buffer"
 	"knapweedwell/httpwire"
+	"knapweedwell/intake"
 	"knapweedwell/invariant"
 	"knapweedwell/kernel"
 	"knapweedwell/metric"
@@ -61,6 +62,12 @@
 	Check            *invariant.Checker
 	Log              logrus.FieldLogger
 	Listen           func(network, address string) (net.Listener, error)
+	// HeadLimits returns the limits of the configuration in force on heads and idle
+	// connections. Heads, Port and Drops bound and count the callers; see webserver.Server.
+	HeadLimits func() webserver.Limits
+	Heads      *intake.Budget
+	Port       *intake.Port
+	Drops      *intake.Drops
 
 	server    *webserver.Server
 	leaving   atomic.Pointer[leaving] // the planned stop, nil before it
@@ -83,6 +90,7 @@
 	s.server = &webserver.Server{
 		Address: s.Address, Handler: s, Listen: s.Listen,
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Limits: s.HeadLimits, Budget: s.Heads, Port: s.Port, Drops: s.Drops,
 	}
 	err := s.server.Run()
 	s.Address = s.server.Address
--- a/peer/node.go
+++ b/peer/node.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/singleflight"
 
+	"knapweedwell/intake"
 	"knapweedwell/kernel"
 )
 
@@ -26,7 +27,16 @@
 	protocolVersion = 1
 	dialTimeout     = time.Second
 	helloTimeout    = 2 * time.Second
-	helloMethod     = "Peer.Hello"
+	// helloWait is the time for the first message on a connection that was accepted. It is
+	// longer than a peer waits for the answer.
+	helloWait = 5 * time.Second
+	// maxHandlers bounds the requests of one connection that are handled at once: a peer
+	// may send requests and read no answer.
+	maxHandlers = 256
+	// acceptPause is the time after which to accept again after a failure, for instance
+	// for want of descriptors.
+	acceptPause = 50 * time.Millisecond
+	helloMethod = "Peer.Hello"
 )
 
 // Handler handles the requests of one method. The name from is that of the peer; it
@@ -52,6 +62,10 @@
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	Listen  func(network, address string) (net.Listener, error)
 	Log     logrus.FieldLogger
+	// Port bounds the connections that are accepted, and Budget the bytes of messages that
+	// are not complete. Nil means no limit.
+	Port   *intake.Port
+	Budget *intake.Budget
 
 	mu       sync.Mutex
 	handlers map[string]Handler
@@ -92,6 +106,9 @@
 	}
 	n.conns = map[string]*jsonrpc2.Conn{}
 	n.open = map[*jsonrpc2.Conn]*countedConn{}
+	if n.Budget == nil {
+		n.Budget = &intake.Budget{}
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.wg.Add(1)
 	go n.accept()
@@ -125,24 +142,44 @@
 	for {
 		c, err := n.listener.Accept()
 		if err != nil {
-			return
+			if n.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			select {
+			case <-n.ctx.Done():
+				return
+			case <-time.After(acceptPause):
+			}
+			continue
+		}
+		var place *intake.Place
+		if n.Port != nil {
+			if place = n.Port.Take(time.Now(), func() { _ = c.Close() }); place == nil {
+				_ = c.Close()
+				continue
+			}
 		}
-		n.serve(c, "")
+		_ = c.SetReadDeadline(time.Now().Add(helloWait))
+		n.serve(c, "", place)
 	}
 }
 
 // serve starts JSON-RPC on a connection. The address of a dialled connection is
 // known; that of an accepted one is in its Hello, and no other request is
 // answered before that.
-func (n *Node) serve(c net.Conn, address string) *jsonrpc2.Conn {
+func (n *Node) serve(c net.Conn, address string, place *intake.Place) *jsonrpc2.Conn {
 	ctx, cancel := context.WithCancel(n.ctx)
-	s := &session{node: n, address: address, trusted: address != "", cancel: cancel}
+	s := &session{node: n, address: address, cancel: cancel, place: place, handlers: make(chan struct{}, maxHandlers)}
+	s.trusted.Store(address != "")
 	s.raw = &countedConn{Conn: c, node: n}
-	stream := jsonrpc2.NewBufferedStream(s.raw, frameCodec{})
+	codec := &sessionCodec{session: s}
+	codec.input.Budget = n.Budget
+	codec.input.Drop = func() { _ = c.Close() }
+	stream := jsonrpc2.NewBufferedStream(s.raw, codec)
 	// The lock keeps Hello from being handled before the session is complete.
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(s), jsonrpc2.SetLogger(rpcLogger{n.Log}))
+	s.conn = jsonrpc2.NewConn(ctx, stream, s, jsonrpc2.SetLogger(rpcLogger{n.Log}))
 	n.addSession(s)
 	return s.conn
 }
@@ -160,6 +197,9 @@
 	defer n.wg.Done()
 	<-s.conn.DisconnectNotify()
 	s.cancel()
+	if s.place != nil {
+		s.place.Leave()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.open, s.conn)
@@ -201,7 +241,7 @@
 		_ = raw.Close()
 		return nil, n.ctx.Err()
 	}
-	c := n.serve(raw, address)
+	c := n.serve(raw, address, nil)
 	hello := Hello{Version: protocolVersion, Name: n.Name, Peer: n.Address, Key: n.Key}
 	ctx, cancelHello := context.WithTimeout(n.ctx, helloTimeout)
 	defer cancelHello()
@@ -295,16 +335,33 @@
 	node   *Node
 	raw    *countedConn
 	cancel context.CancelFunc // ends the handlers once the connection is closed
+	place  *intake.Place      // nil if this instance dialled the peer, or if there is no limit
+	// handlers has an element for each request that is handled.
+	handlers chan struct{}
+	trusted  atomic.Bool // whether this instance dialled the peer or the peer has sent the right key
 
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
 	name    string // name in the peer's Hello, empty on a dialled connection
 	address string // address of the peer, empty on an accepted connection
-	trusted bool   // whether this instance dialled the peer or the peer has sent the right key
 }
 
-// Handle answers one request from the peer.
+// Handle answers one request from the peer, in another goroutine. It waits while too many are
+// handled, so that no more are read.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	select {
+	case s.handlers <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	go func() {
+		defer func() { <-s.handlers }()
+		s.answer(ctx, conn, req)
+	}()
+}
+
+// answer answers one request.
+func (s *session) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.dispatch(ctx, req)
 	if req.Notif {
 		return
@@ -333,7 +390,7 @@
 		return s.handleHello(params)
 	}
 	s.mu.Lock()
-	name, trusted := s.name, s.trusted
+	name, trusted := s.name, s.trusted.Load()
 	s.mu.Unlock()
 	if !trusted {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "the first message must be " + helloMethod}
@@ -357,9 +414,14 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "wrong peer key"}
 	}
 	s.mu.Lock()
-	s.name, s.trusted = h.Name, true
+	s.name = h.Name
 	conn := s.conn
 	s.mu.Unlock()
+	s.trusted.Store(true)
+	_ = s.raw.SetReadDeadline(time.Time{})
+	if s.place != nil {
+		s.place.Set(time.Now(), intake.Serving)
+	}
 	s.node.useForCalls(h.Peer, conn)
 	return Hello{Version: protocolVersion, Name: s.node.Name, Peer: s.node.Address}, nil
 }
--- a/webserver/webserver.go
+++ b/webserver/webserver.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"knapweedwell/intake"
 )
 
 // Defaults of the limits of a Server.
@@ -34,6 +37,17 @@
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
+	// Limits returns limits that apply where they are stricter; nil means none. A limit
+	// that changes applies to heads and idle times that begin afterwards.
+	Limits       func() Limits
+	WriteTimeout time.Duration // for one write to a connection; zero means no limit
+
+	// Budget counts the bytes of heads that are not complete, and Port the connections.
+	// Nil means no limit. Drops counts the clients that are refused; nil means that they
+	// are not counted.
+	Budget *intake.Budget
+	Port   *intake.Port
+	Drops  *intake.Drops
 
 	server   *http.Server
 	listener net.Listener
@@ -43,6 +57,32 @@
 	conns    map[*conn]bool // open connections
 }
 
+// Limits are limits on heads and on idle connections; zero means none.
+type Limits struct {
+	HeaderTimeout time.Duration // from the first byte of a head to its end
+	IdleTimeout   time.Duration // between two requests
+	HeaderBytes   int
+}
+
+// limits returns the limits in force.
+func (s *Server) limits() Limits {
+	l := Limits{
+		HeaderTimeout: cmp.Or(s.HeaderTimeout, headerTimeout),
+		IdleTimeout:   cmp.Or(s.IdleTimeout, idleTimeout),
+		HeaderBytes:   cmp.Or(s.MaxHeaderBytes, maxHeaderBytes),
+	}
+	if s.Limits == nil {
+		return l
+	}
+	// Zero, as no limit, becomes the largest number.
+	const most = math.MaxInt
+	other := s.Limits()
+	l.HeaderTimeout = min(l.HeaderTimeout, cmp.Or(other.HeaderTimeout, most))
+	l.IdleTimeout = min(l.IdleTimeout, cmp.Or(other.IdleTimeout, most))
+	l.HeaderBytes = min(l.HeaderBytes, cmp.Or(other.HeaderBytes, most))
+	return l
+}
+
 // Run starts listening and sets Address to the address in use.
 func (s *Server) Run() error {
 	listener, err := s.Listen("tcp", s.Address)
@@ -52,11 +92,14 @@
 	s.Address = listener.Addr().String()
 	s.listener = listener
 	s.conns = map[*conn]bool{}
+	if s.Budget == nil {
+		s.Budget = &intake.Budget{}
+	}
 	s.server = &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
+		Handler: http.HandlerFunc(s.serve),
+		// The connections apply the limits on heads, before the server sees a byte.
 		ReadHeaderTimeout: cmp.Or(s.HeaderTimeout, headerTimeout),
-		IdleTimeout:       cmp.Or(s.IdleTimeout, idleTimeout),
-		MaxHeaderBytes:    cmp.Or(s.MaxHeaderBytes, maxHeaderBytes),
+		MaxHeaderBytes:    2 * (cmp.Or(s.MaxHeaderBytes, maxHeaderBytes) + headSlackBytes),
 		ConnState:         s.setState,
 		ConnContext:       withConn,
 	}
@@ -123,8 +166,11 @@
 	switch state {
 	case http.StateIdle:
 		c.answered()
-	case http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		c.phase.Store(int32(rawPhase))
 		s.forget(c)
+	case http.StateClosed:
+		c.leave()
 	case http.StateNew, http.StateActive:
 	}
 }
