Let one instance at a time hold the duties

Cause: the platform expects usage reports and orders of one holder with a rising token. Change: package duty keeps the lease in one object of the store; edge builds it if the section [Duties] is set and releases it in a planned stop; status and metrics show it.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -79,7 +79,7 @@
 func TestRelease(t *testing.T) {
 	simulate(t, 2, func(fl *testFleet) {
 		h, _ := fl.await(nil, startLimit)
-		h.Release(t.Context())
+		h.Release(context.Background())
 		_, _, ok := h.Held()
 		assert.Assert(t, !ok)
 		next, _ := fl.await(h, stopLimit)
--- a/duty/service.go
+++ b/duty/service.go
@@ -51,7 +51,7 @@
 	OnChange func(held bool, token int64)
 	Log      logrus.FieldLogger
 
-	calls     sync.Mutex // held by a step and by the release, which write the object
+	calls     chan struct{} // holds a value while a step or the release writes the object
 	mu        sync.Mutex
 	lease     lease
 	stopped   bool // planned stop: the lease is not taken any more
@@ -82,6 +82,7 @@
 	if s.Elapsed == nil {
 		s.Elapsed = Boottime
 	}
+	s.calls = make(chan struct{}, 1)
 	s.lease = newLease(s.Lease)
 }
 
@@ -150,8 +151,8 @@
 
 // step makes the calls to the store that are due.
 func (s *Service) step(ctx context.Context) {
-	s.calls.Lock()
-	defer s.calls.Unlock()
+	s.calls <- struct{}{}
+	defer func() { <-s.calls }()
 	now := s.now()
 	alert := s.Role() == follow.Alert
 	s.mu.Lock()
@@ -436,8 +437,8 @@
 	s.mu.Lock()
 	s.stopped = true
 	s.mu.Unlock()
-	s.calls.Lock()
-	defer s.calls.Unlock()
+	s.calls <- struct{}{}
+	defer func() { <-s.calls }()
 	s.mu.Lock()
 	held := s.lease.held
 	s.mu.Unlock()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
 	"knapweedwell/buffer"
+	"knapweedwell/duty"
 	"knapweedwell/exchange"
 	"knapweedwell/follow"
 	"knapweedwell/forward"
@@ -53,6 +54,9 @@
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Log          logrus.FieldLogger
 	Check        *invariant.Checker
+	// Elapsed returns the time since the machine was started, suspensions included. Nil means
+	// duty.Boottime.
+	Elapsed func() time.Duration
 
 	Peers      *peer.Node
 	Heartbeats *heartbeat.Service
@@ -65,6 +69,8 @@
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
+	API        *platform.API // nil without duties
+	Duties     *duty.Service // nil without duties
 
 	kernel      *kernel.Kernel
 	store       *platform.Client
@@ -98,6 +104,7 @@
 	i.kernel.Add("operator", i.Operator)
 	i.kernel.Add("forward", i.Forward)
 	i.kernel.Add("directory", i.Directory)
+	i.buildDuties()
 	if err := i.kernel.Run(); err != nil {
 		return err
 	}
@@ -343,6 +350,7 @@
 	i.Forward.Leave(start, end)
 	i.Exchange.SendNow()
 	i.Heartbeats.AnnounceAsync()
+	i.releaseDuties(ctx)
 	for now := start; now.Before(end) && ctx.Err() == nil; now = time.Now() {
 		active, idle := i.Forward.Busy(now)
 		if active == 0 && idle > minIdleTime && now.Sub(start) > minLeavingTime {
@@ -371,5 +379,8 @@
 	err := i.kernel.Close()
 	_ = i.connections.Close()
 	_ = i.store.Close()
+	if i.API != nil {
+		_ = i.API.Close()
+	}
 	return err
 }
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -54,6 +54,7 @@
 	Upstreams    int
 	Leaving      []string
 	Quarantine   []Verdict
+	Duties       *DutiesStatus
 }
 
 // Verdict is a verdict on a prompt part, or on a whole request, that is in force.
@@ -70,7 +71,7 @@
 	i := o.instance
 	s := Status{
 		Name: i.Settings.Name, Version: i.Routing.Version(), RosterAt: i.Roster.Position().Mark, StoreEra: i.storeEra(), StoreAway: i.Roster.StoreUnreachable(),
-		StoreSilence: time.Since(i.Routing.LastAnswer()), Members: i.Heartbeats.Members(), Leaving: i.Roster.Current().Leaving(),
+		StoreSilence: time.Since(i.Routing.LastAnswer()), Members: i.Heartbeats.Members(), Leaving: i.Roster.Current().Leaving(), Duties: i.dutiesStatus(),
 	}
 	i.Heartbeats.With(func(v *member.View) { s.State = v.Self.State.String() })
 	s.Running, _ = i.Forward.Busy(time.Now())
