Count the requests of each organisation and report each window once

Change: package usage counts by window, exchange carries the counts (format 8) to the instances that may report them or through the aggregators, the holder decides a window 2 s after its end, stores it and sends it until it is accepted. Measured: go test ./simulation -run 'TestUsage|TestNoDuties' passes once, with 3, 4 and 40 instances; go test -race ./usage passes.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -8,6 +8,8 @@
 
 	"knapweedwell/duty"
 	"knapweedwell/platform"
+	"knapweedwell/setting"
+	"knapweedwell/usage"
 )
 
 const (
@@ -29,11 +31,30 @@
 	i.Duties = &duty.Service{
 		Self: i.identity(), Platform: i.store, Role: i.role, Lease: d.Lease, Elapsed: i.Elapsed, APIFailingSince: i.API.FailingSince, Log: i.Log,
 	}
+	elapsed := i.Elapsed
+	if elapsed == nil {
+		elapsed = duty.Boottime
+	}
+	i.Usage = &usage.Service{
+		Self: i.Settings.Name, Identity: i.identity(), Zone: i.Settings.Zone, Window: d.UsageWindow, Deadline: d.UsageDeadline,
+		Report: d.Has(setting.UsageDuty), Duties: i.Duties, API: i.API, Platform: i.store, Elapsed: elapsed, Instances: i.instances,
+		Send: i.Exchange.SendUsage, Log: i.Log,
+	}
+	i.Exchange.Usage, i.Forward.Usage = i.Usage, i.Usage
 	i.kernel.Add("duties", i.Duties)
+	i.kernel.Add("usage", i.Usage)
 	i.metrics.Gauge("knapweedwell_duty_held", func() float64 { return boolValue(i.Duties.State().Held) })
 	i.metrics.Gauge("knapweedwell_duty_token", func() float64 { return float64(i.Duties.State().Token) })
 	i.metrics.Gauge("knapweedwell_duty_lease_age_seconds", func() float64 { return i.Duties.State().Age.Seconds() })
 	i.metrics.Gauge("knapweedwell_duty_changes_total", func() float64 { return float64(i.Duties.State().Changes) })
+	i.metrics.Gauge("knapweedwell_usage_windows_reported_total", func() float64 {
+		accepted, _ := i.Usage.Reported()
+		return float64(accepted)
+	})
+	i.metrics.Gauge("knapweedwell_usage_windows_late_total", func() float64 {
+		_, late := i.Usage.Reported()
+		return float64(late)
+	})
 	for _, result := range []string{"ok", "limited", "unavailable", "failed"} {
 		i.metrics.Gauge(`knapweedwell_duty_calls_total{result="`+result+`"}`, func() float64 { return float64(i.API.Calls(result)) })
 	}
@@ -58,7 +79,8 @@
 
 // DutiesStatus is the state of the duties as operators see it.
 type DutiesStatus struct {
-	Lease duty.State // Holder is known to the instances that follow the store only
+	Lease   duty.State // Holder is known to the instances that follow the store only
+	Windows []usage.WindowState
 }
 
 // dutiesStatus returns the state of the duties, nil if there are none.
@@ -66,5 +88,5 @@
 	if i.Duties == nil {
 		return nil
 	}
-	return &DutiesStatus{Lease: i.Duties.State()}
+	return &DutiesStatus{Lease: i.Duties.State(), Windows: i.Usage.Windows()}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,6 +31,7 @@
 	"knapweedwell/route"
 	"knapweedwell/routing"
 	"knapweedwell/setting"
+	"knapweedwell/usage"
 	"knapweedwell/verdictstore"
 )
 
@@ -69,8 +70,9 @@
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
-	API        *platform.API // nil without duties
-	Duties     *duty.Service // nil without duties
+	API        *platform.API  // nil without duties
+	Duties     *duty.Service  // nil without duties
+	Usage      *usage.Service // nil without duties
 
 	kernel      *kernel.Kernel
 	store       *platform.Client
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -93,6 +93,7 @@
 	OnReport func(peerAddress string, version int64, position roster.Position)
 	Facts    Facts  // facts about prompt parts; nil if they are not shared
 	Limits   Limits // limits of upstreams; nil if they are not shared
+	Usage    Usage  // counts of requests; nil if they are not shared
 	Log      logrus.FieldLogger
 
 	conn      net.PacketConn
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -44,6 +44,9 @@
 	if len(data) > 0 && data[0] == factsFormat {
 		return s.receiveFacts(data)
 	}
+	if len(data) > 0 && data[0] == usageFormat {
+		return s.receiveUsage(data)
+	}
 	m, err := decode(data)
 	if err != nil {
 		return err
--- a/forward/end.go
+++ b/forward/end.go
@@ -87,6 +87,7 @@
 		}
 		sample.Attained = f == nil && rs.firstByte <= rs.route.Aim
 		rs.s.Metrics.Observe(sample)
+		rs.countEnd()
 	}
 	if c := rs.choice; c.Upstream != nil {
 		fields["Upstream"] = c.Upstream.ID
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,6 +32,7 @@
 	"knapweedwell/ratelimit"
 	"knapweedwell/roster"
 	"knapweedwell/route"
+	"knapweedwell/usage"
 	"knapweedwell/webserver"
 )
 
@@ -57,6 +58,7 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Limits
 	Memory           *buffer.Memory // for bodies
+	Usage            *usage.Service // counts requests; nil if they are not counted
 	Metrics          *metric.Registry
 	Check            *invariant.Checker
 	Log              logrus.FieldLogger
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -44,6 +44,8 @@
 	body         []byte
 	buffers      []*buffer.Buffer // of the request's body and of the answers
 
+	counted bool // whether a run of the request was counted
+
 	sends       int // number of upstreams that got the request
 	runs        int // number of upstreams that may have run it
 	rejections  int
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -55,6 +55,7 @@
 			t.attempt.Event(now)
 			t.watched.Event(now)
 			rs.stream.recordGap(now)
+			rs.countBegun()
 			if werr := rs.writeEvents(t, pending.Bytes()[:complete]); werr != nil {
 				t.keep = false
 				rs.callerGone = errors.Is(werr, errWriteToCaller)
@@ -120,12 +121,13 @@
 		rs.begin(t.resp.StatusCode, t.resp.Header)
 		rs.w.WriteHeader(t.resp.StatusCode)
 	}
-	out, err := data, error(nil)
+	out, err, before := data, error(nil), rs.stream.events
 	if rs.runs > 1 {
 		out, err = rs.stream.resume(data)
 	} else {
 		rs.stream.record(data)
 	}
+	rs.s.Usage.Events(rs.pool.Name, rs.stream.events-before)
 	if len(out) == 0 {
 		return err
 	}
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -109,6 +109,9 @@
 		return rejected{reason: t.resp.Status, moved: t.resp.StatusCode == http.StatusMisdirectedRequest}
 	}
 	t.rs.runs++
+	if !t.rs.route.Stream || t.resp.StatusCode >= http.StatusMultipleChoices {
+		t.rs.countBegun()
+	}
 	return t.relayAnswer(headers)
 }
 
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -112,6 +112,9 @@
 func (c *packetConn) SetReadDeadline(time.Time) error  { return nil }
 func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
 
+// epoch is the start of the machines on the virtual clock, whose days begin in 2000.
+var epoch = time.Date(1999, 12, 31, 0, 0, 0, 0, time.UTC)
+
 // routeSimulation is a fleet of instances that serve routes, with the store,
 // the upstreams and the network that it uses.
 type routeSimulation struct {
@@ -134,6 +137,7 @@
 	addedRoutes    int           // routes beyond those that the tests call
 	longTimeouts   bool          // gives all routes a timeout longer than a planned stop
 	zones          []string      // availability zones of the instances by turns
+	duties         *setting.Duties
 }
 
 // simulateRoutes runs a case with n instances on a virtual clock.
@@ -278,7 +282,9 @@
 			},
 		},
 		Dial: sim.network.dialer(h), Listen: sim.network.listen, ListenPacket: sim.packets.listen, Log: sim.log, Check: sim.checker,
+		Elapsed: func() time.Duration { return time.Since(epoch) },
 	}
+	in.Settings.Duties = sim.duties
 	if err := in.Run(); err != nil {
 		sim.t.Fatal(err)
 	}
