Send counts again to instances that get them newly, and state the time

Cause: an instance that begins to collect lacks the counts of the windows under way, and those that only send counts hear nobody's time.

--- a/duty/lease.go
+++ b/duty/lease.go
@@ -48,6 +48,16 @@
 	at       Instant // when this revision was first seen
 }
 
+// gives reports whether the object gives its holder the lease in the present era.
+func (s sighting) gives() bool {
+	return s.readable && !s.record.Released && s.era == eraOf(s.record.Token)
+}
+
+// olderThan reports whether a read shows an earlier state of the store than another one.
+func (s sighting) olderThan(other sighting) bool {
+	return s.era < other.era || (s.era == other.era && s.store < other.store)
+}
+
 // lease is what one instance knows of the lease. Its methods are functions of their arguments
 // and of what it knows; they serve a holder that writes a few times in the length of the lease
 // and candidates that read once a second.
@@ -87,7 +97,7 @@
 // see records a read of the object. A write of this instance with an unknown outcome is
 // recognised by its nonce. A read that is older than an earlier one changes nothing.
 func (l *lease) see(s sighting) {
-	if l.known && (s.era < l.seen.era || (s.era == l.seen.era && s.store < l.seen.store)) {
+	if l.known && s.olderThan(l.seen) {
 		return
 	}
 	if l.known && s.era == l.seen.era && s.revision == l.seen.revision {
@@ -97,7 +107,7 @@
 	l.highest = max(l.highest, s.record.Token)
 	sent, own := l.writes[s.record.Nonce]
 	switch {
-	case s.readable && own && !s.record.Released && s.era == eraOf(s.record.Token):
+	case own && s.gives():
 		l.accept(s.record, s.era, sent)
 	case l.held && s.era == l.era && (!s.readable || s.record.Nonce != l.nonce):
 		l.lose(s.at)
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"knapweedwell/duty"
+	"knapweedwell/follow"
 	"knapweedwell/platform"
 	"knapweedwell/setting"
 	"knapweedwell/usage"
@@ -29,7 +30,7 @@
 	i.API = platform.NewAPI(d.Address, duty.GuardedDial(i.Dial))
 	i.API.Limiter = rate.NewLimiter(rate.Limit(d.CallsPerSecond*dutyRateShare), dutyBurst)
 	i.Duties = &duty.Service{
-		Self: i.identity(), Platform: i.store, Role: i.role, Lease: d.Lease, Elapsed: i.Elapsed, APIFailingSince: i.API.FailingSince, Log: i.Log,
+		Self: i.identity(), Platform: i.store, Role: i.dutyRole, Lease: d.Lease, Elapsed: i.Elapsed, APIFailingSince: i.API.FailingSince, Log: i.Log,
 	}
 	elapsed := i.Elapsed
 	if elapsed == nil {
@@ -60,6 +61,14 @@
 	}
 }
 
+// dutyRole returns the role of this instance, Idle if it does not get the counts of the fleet.
+func (i *Instance) dutyRole() follow.Role {
+	if !i.Exchange.Collects() {
+		return follow.Idle
+	}
+	return i.role()
+}
+
 func boolValue(set bool) float64 {
 	if set {
 		return 1
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -115,6 +115,7 @@
 	logged       beliefs // as in the most recent round
 	sharing      *sharing
 	limits       limitSharing
+	counts       usageSharing
 	refreshing   atomic.Bool // whether facts are being fetched again
 	sent         atomic.Int64
 	received     atomic.Int64
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 	// datagram that cannot be read and use nothing of it.
 	usageFormat     = 8
 	usageTargets    = 4 // instances that get counts in a small fleet: those that are or may become Alert
+	timeRounds      = 8 // rounds between two statements of the time to those that send counts
 	maxUsageName    = 300
 	maxUsageEntries = 2000
 )
@@ -25,6 +27,43 @@
 // Usage merges the counts of other instances.
 type Usage interface {
 	Apply(m usage.Message)
+	// Resend sends all recent counts in the next round.
+	Resend()
+	// TimeMessage states the time of this instance.
+	TimeMessage() usage.Message
+}
+
+// usageSharing is the state of the exchange of counts. Service.mu guards it.
+type usageSharing struct {
+	round   int
+	targets map[string]bool // identities of those that got counts in the last round
+	sources map[string]bool // names of those that sent counts since the time was last stated
+}
+
+// updateUsage records the targets of a round. It reports whether there is a new one, and
+// returns the sources that are to be told the time of this instance.
+func (s *Service) updateUsage(targets []member.Member) (fresh bool, sources []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sh := &s.counts
+	now := map[string]bool{}
+	for _, to := range targets {
+		now[to.Identity()] = true
+		fresh = fresh || !sh.targets[to.Identity()]
+	}
+	sh.targets = now
+	if sh.round++; sh.round%timeRounds == 0 {
+		sources = slices.Collect(maps.Keys(sh.sources))
+		sh.sources = nil
+	}
+	return fresh, sources
+}
+
+// Collects reports whether this instance gets the counts of the fleet.
+func (s *Service) Collects() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.fleet.plan.Aggregated() || s.fleet.acting()
 }
 
 // SendUsage sends the counts of this instance to those that may report them, and as an
@@ -34,18 +73,25 @@
 	plan, acting := s.fleet.plan, s.fleet.acting()
 	s.mu.Unlock()
 	targets := s.usageTargets(plan)
+	var others []member.Member
 	if plan.Aggregated() && acting {
-		for _, to := range targets {
-			s.sendMessages(to, own)
-		}
-		for _, to := range plan.Others {
-			s.sendMessages(to, sums)
-		}
-		return
+		others = plan.Others
+	}
+	fresh, sources := s.updateUsage(slices.Concat(targets, others))
+	if fresh {
+		s.Usage.Resend()
 	}
 	for _, to := range targets {
 		s.sendMessages(to, own)
 	}
+	for _, to := range others {
+		s.sendMessages(to, sums)
+	}
+	for _, name := range sources {
+		if to, ok := s.Member(name); ok {
+			s.sendMessages(to, []usage.Message{s.Usage.TimeMessage()})
+		}
+	}
 }
 
 func (s *Service) sendMessages(to member.Member, messages []usage.Message) {
@@ -132,6 +178,14 @@
 	if _, known := s.Member(name); !ok || !known || s.Usage == nil {
 		return nil
 	}
+	if len(m.Entries) > 0 {
+		s.mu.Lock()
+		if s.counts.sources == nil {
+			s.counts.sources = map[string]bool{}
+		}
+		s.counts.sources[name] = true
+		s.mu.Unlock()
+	}
 	if m.Slot.Kind == usage.WindowKind || m.Slot.Kind == usage.DemandKind {
 		s.Usage.Apply(m)
 	}
--- a/usage/book.go
+++ b/usage/book.go
@@ -25,7 +25,8 @@
 }
 
 const (
-	keepTime = 60 * time.Second // for which counts are kept
+	keepTime   = 60 * time.Second // for which counts are kept
+	resendTime = 20 * time.Second // of which counts are sent to an instance that gets them newly
 	// maxNames bounds the names of one slot.
 	maxNames = 2000
 	// sendRounds is the number of rounds in which a count is sent after it has changed, so
@@ -107,6 +108,18 @@
 	return out
 }
 
+// resend marks the counts of slots that ended after a time as unsent.
+func (b book) resend(since time.Time, window time.Duration) {
+	for slot, p := range b {
+		if slot.Kind != WindowKind || slot.end(window).Before(since) {
+			continue
+		}
+		for name := range p.counts {
+			p.sent[name] = max(p.sent[name], 1)
+		}
+	}
+}
+
 // end returns when a slot ends, in true time.
 func (s Slot) end(window time.Duration) time.Time {
 	if s.Kind == DemandKind {
--- a/usage/service.go
+++ b/usage/service.go
@@ -143,6 +143,27 @@
 	s.Send(own, sums)
 }
 
+// Resend sends all counts of the last windows again in the next round, because an instance that
+// has none gets them from now on.
+func (s *Service) Resend() {
+	s.prepare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := s.clock.at(s.Elapsed()).Add(-resendTime)
+	for _, b := range []book{s.own, s.zoneSums} {
+		b.resend(since, s.Window)
+	}
+}
+
+// TimeMessage returns a message without counts, which states the time of this instance.
+func (s *Service) TimeMessage() Message {
+	s.prepare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.at(s.Elapsed())
+	return Message{Source: s.Identity, Time: now.UnixMilli(), Slot: slotAt(WindowKind, now, s.Window)}
+}
+
 // slots returns the slots of which instances have sent counts. The caller holds s.mu.
 func (s *Service) slots() map[Slot]bool {
 	slots := map[Slot]bool{}
@@ -200,7 +221,7 @@
 			return
 		}
 	}
-	if m.Source != s.Identity {
+	if m.Source != s.Identity && len(m.Entries) > 0 {
 		s.collected.add(m)
 	}
 }
