--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -93,6 +93,7 @@
 	OnReport func(peerAddress string, version int64, position roster.Position)
 	Facts    Facts  // facts about prompt parts; nil if they are not shared
 	Limits   Limits // limits of upstreams; nil if they are not shared
+	Usage    Usage  // counts of requests; nil if they are not shared
 	Log      logrus.FieldLogger
 
 	conn      net.PacketConn
@@ -114,6 +115,7 @@
 	logged       beliefs // as in the most recent round
 	sharing      *sharing
 	limits       limitSharing
+	counts       usageSharing
 	refreshing   atomic.Bool // whether facts are being fetched again
 	sent         atomic.Int64
 	received     atomic.Int64
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,6 +33,7 @@
 	"knapweedwell/ratelimit"
 	"knapweedwell/roster"
 	"knapweedwell/route"
+	"knapweedwell/usage"
 	"knapweedwell/webserver"
 )
 
@@ -58,6 +59,7 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Limits
 	Memory           *buffer.Memory // for bodies
+	Usage            *usage.Service // counts requests; nil if they are not counted
 	Metrics          *metric.Registry
 	Check            *invariant.Checker
 	Log              logrus.FieldLogger
