--- a/usage/decide.go
+++ b/usage/decide.go
@@ -107,13 +107,10 @@
 		}
 		found = true
 	}
-	certain := (found && stored.Era == l.Era) || (revision == 0 && l.Era <= firstEra)
-	merged := mergeLedgers(known, stored)
+	merged, certain := startLedger(known, stored, l.Era, found, revision == 0, lastUncertain(s.Now(), s.Window))
 	if !certain {
-		merged.Last = max(merged.Last, lastUncertain(s.Now(), s.Window))
 		s.Log.WithFields(logrus.Fields{"Era": l.Era, "Last": merged.Last}).Warn("windows may have been decided that the store does not know; they are not sent")
 	}
-	merged.Era = l.Era
 	s.mu.Lock()
 	d.ledger = merged
 	s.mu.Unlock()
@@ -121,6 +118,19 @@
 	return true
 }
 
+// startLedger returns what a new holder takes as decided, from what it knows and what the store
+// has in an era. It reports whether this is certain: otherwise windows up to the uncertain
+// one may have been decided by others, and count as decided.
+func startLedger(known, stored ledger, era int64, found, absent bool, uncertain int64) (ledger, bool) {
+	certain := (found && stored.Era == era) || (absent && era <= firstEra)
+	merged := mergeLedgers(known, stored)
+	if !certain {
+		merged.Last = max(merged.Last, uncertain)
+	}
+	merged.Era = era
+	return merged, certain
+}
+
 // mergeLedgers returns the windows that either ledger has. What is stored counts.
 func mergeLedgers(known, stored ledger) ledger {
 	out := ledger{Last: max(known.Last, stored.Last), Windows: slices.Clone(stored.Windows)}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -115,3 +115,44 @@
 	assert.Equal(t, l.Last, int64(8))
 	assert.DeepEqual(t, l.Windows, []decided{{Window: 7, Counts: map[string]int64{"o": 2}, Accepted: true}, {Window: 8, Counts: map[string]int64{"o": 5}}})
 }
+
+// TestStartLedger guards against a new holder that decides a window again because the store has
+// lost what an earlier holder decided.
+func TestStartLedger(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		known, stored ledger
+		era           int64
+		found, absent bool
+		last          int64
+		certain       bool
+	}{
+		{"as stored", ledger{}, ledger{Era: 2, Last: 7}, 2, true, false, 7, true},
+		{"stored in an earlier era", ledger{}, ledger{Era: 1, Last: 4}, 2, true, false, 9, false},
+		{"lost", ledger{}, ledger{}, 2, false, true, 9, false},
+		{"cannot be decoded", ledger{}, ledger{Era: -1}, 1, false, false, 9, false},
+		{"nothing decided yet", ledger{}, ledger{}, 1, false, true, 0, true},
+		{"known and lost", ledger{Era: 1, Last: 10}, ledger{Era: 1, Last: 4}, 2, true, false, 10, false},
+	} {
+		l, certain := startLedger(c.known, c.stored, c.era, c.found, c.absent, 9)
+		assert.Equal(t, l.Last, c.last, c.name)
+		assert.Equal(t, certain, c.certain, c.name)
+		assert.Equal(t, l.Era, c.era, c.name)
+	}
+}
+
+// TestResend guards against an instance that begins to collect and never gets the counts of the
+// windows under way.
+func TestResend(t *testing.T) {
+	b := book{}
+	now := time.Unix(1000, 0)
+	slot := slotAt(WindowKind, now, testWindow)
+	b.raise(slot, "o", 3)
+	b.raise(slotAt(WindowKind, now.Add(-time.Minute), testWindow), "o", 3)
+	for range sendRounds {
+		b.unsent()
+	}
+	assert.Equal(t, len(b.unsent()), 0)
+	b.resend(now.Add(-resendTime), testWindow)
+	assert.DeepEqual(t, b.unsent(), map[Slot][]Entry{slot: {{Name: "o", Count: 3}}})
+}
