Leave the zone by decision where the strict split may apply

Cause: only the network delay counted, 1 to 3 ms, so that any difference in load sent a request to another zone or region, whose traffic is slower and costs money.

Change: LeavingShare decides from the loads of both zones, the delay and the cost of the bytes which share of the own requests goes to another zone without a margin. The share follows the amount that evens out both loads within the other zone's room; it holds in a band. Other requests pay a margin of 40 ms there. Bytes cost what the settings say. Choose is split up (selection.go), and the distance of an upstream is looked up once.

--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -33,6 +33,9 @@
 	instances   int           // they report to each other every reportPeriod
 	strict      bool          // whether the feature is set that asks for the strict split
 	statesSpeed bool          // whether answers state the slowdown of the engine
+	zones       int           // availability zones of engines and instances
+	zoneSkew    float64       // requests of the first zone relative to another
+	left        int           // requests that were sent to another zone
 	seeds       int           // plays with different arrivals
 	speedSpread float64       // standard deviation of the logarithm of the slowdown of an engine
 	speedPeriod time.Duration // time for which a slowdown lasts
@@ -80,6 +83,7 @@
 			l.length = seconds("Seconds")
 			l.perStream, l.instances, l.strict = time.Duration(count("StreamMicros"))*time.Microsecond, r.Int("Instances", 1, 1, 100), count("Strict") > 0
 			l.statesSpeed, l.seeds = count("StatesSpeed") > 0, r.Int("Seeds", 1, 1, 100)
+			l.zones, l.zoneSkew = r.Int("Zones", 1, 1, 10), r.Float("ZoneSkew", 1, 0, 100)
 			l.speedSpread, l.speedPeriod = r.Float("SpeedSpread", 0, 0, 1), seconds("SpeedSeconds")
 		}
 		r.Finish()
@@ -207,7 +211,13 @@
 func (l loadScript) checkLevels(t *testing.T, onTime, total map[string]int) {
 	t.Helper()
 	l.strict, l.statesSpeed = false, false
+	left := l.left
+	l.left = 0
 	before, beforeTotal := l.play()
+	if l.zones > 1 {
+		t.Logf("%d requests left their zone, %d before", left, l.left)
+		assert.Check(t, left < l.left, "%d requests left their zone, %d before", left, l.left)
+	}
 	for _, c := range l.classes {
 		old, share := float64(before[c.name])/float64(beforeTotal[c.name]), float64(onTime[c.name])/float64(total[c.name])
 		t.Logf("%s: %.3f on time before", c.name, old)
@@ -252,18 +262,13 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	now := time.Unix(1000, 0)
 	pool := &route.Pool{Name: "model", Engine: &route.Engine{MemoryTokens: 500000, EventTokens: l.event}}
-	pickers := make([]*Picker, l.instances)
-	for i := range pickers {
-		pickers[i] = New("z", map[string]string{"z": "r"})
-		pickers[i].Strict = l.strict
-		pickers[i].Random = rand.New(rand.NewPCG(3, uint64(i))).Float64
-	}
+	pickers := l.newPickers()
 	reportAt := now.Add(reportPeriod)
 	engines := make([]*modelEngine, l.engines)
 	byID := map[string]*modelEngine{}
 	var upstreams []*route.Upstream
 	for i := range engines {
-		u := &route.Upstream{ID: fmt.Sprintf("u-%02d", i), Pool: "model", Zone: "z", Slots: l.slots}
+		u := &route.Upstream{ID: fmt.Sprintf("u-%02d", i), Pool: "model", Zone: zoneName(i % l.zones), Slots: l.slots}
 		engines[i] = &modelEngine{upstream: u, cached: map[uint64]bool{}, number: uint64(i)}
 		byID[u.ID] = engines[i]
 		upstreams = append(upstreams, u)
@@ -289,7 +294,7 @@
 		s := &modelStream{class: a.class, sentAt: a.at}
 		p := pickers[0]
 		if l.instances > 1 {
-			p = pickers[rng.IntN(l.instances)]
+			p = pickers[l.drawInstance(rng)]
 		}
 		part := uint64(rng.IntN(a.class.sharedParts)) + uint64(a.class.sharedParts)<<32
 		prompt := &request.Prompt{
@@ -299,6 +304,9 @@
 		r := Request{Pool: pool, Prompt: prompt, Rank: a.class.rank, GapAim: a.class.gap, ShortestGap: a.class.gap == shortest && shortest < longest}
 		c, _ := p.Choose(a.at, upstreams, r)
 		s.attempt = p.Begin(a.at, r, c)
+		if c.Upstream.Zone != p.Zone {
+			l.left++
+		}
 		e := byID[c.Upstream.ID]
 		s.engine, s.unread = e, prompt.Tokens
 		if e.cached[part] {
@@ -312,6 +320,42 @@
 	}
 }
 
+func zoneName(i int) string {
+	return "z" + fmt.Sprint(i)
+}
+
+// modelRegions returns the regions of the zones: all are in one.
+func modelRegions(zones int) map[string]string {
+	regions := map[string]string{}
+	for i := range zones {
+		regions[zoneName(i)] = "r"
+	}
+	return regions
+}
+
+// drawInstance returns the number of the instance that gets the next request. Without skew
+// all are equally likely.
+func (l *loadScript) drawInstance(rng *rand.Rand) int {
+	if l.zones > 1 && rng.Float64() < (l.zoneSkew-1)/(l.zoneSkew-1+float64(l.zones)) {
+		return rng.IntN(l.instances/l.zones) * l.zones
+	}
+	return rng.IntN(l.instances)
+}
+
+// newPickers returns the pickers of the instances.
+func (l *loadScript) newPickers() []*Picker {
+	pickers := make([]*Picker, l.instances)
+	for i := range pickers {
+		pickers[i] = New(zoneName(i%l.zones), modelRegions(l.zones))
+		for zone := range l.zones {
+			pickers[i].Connected(&route.Upstream{Zone: zoneName(zone)}, 2*time.Millisecond)
+		}
+		pickers[i].Strict = l.strict
+		pickers[i].Random = rand.New(rand.NewPCG(3, uint64(i))).Float64
+	}
+	return pickers
+}
+
 // exchangeReports sends the reports of each instance to all others.
 func exchangeReports(now time.Time, pickers []*Picker) {
 	memory := func(string) (int, bool) { return 500000, true }
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -11,9 +11,7 @@
 package balancer
 
 import (
-	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +59,7 @@
 	// ShortestGap is set if other requests for the pool have a longer target than GapAim
 	// and none has a shorter one.
 	ShortestGap bool
+	Bytes       int             // expected size of the request and its answer
 	Avoid       map[string]bool // IDs of the upstreams that have failed the request
 }
 
@@ -86,9 +85,16 @@
 	// Strict asks for the strict split in all pools of engines; it also applies to pools
 	// whose upstreams state their speed.
 	Strict bool
+	// ZoneCost and RegionCost are the delays that the operator would accept to save a
+	// megabyte of traffic between availability zones, or between regions.
+	ZoneCost   time.Duration
+	RegionCost time.Duration
 	// OnSplit is called after changes of a split, at most once a second for a pool. It may be
 	// nil.
 	OnSplit func(SplitState)
+	// OnZoneShare is called when requests of a pool begin or end to be sent to another zone by
+	// decision, at most once a second for each kind of them. It may be nil.
+	OnZoneShare func(ZoneState)
 
 	mu             sync.Mutex
 	states         map[string]*state
@@ -127,71 +133,35 @@
 func (p *Picker) Choose(now time.Time, candidates []*route.Upstream, r Request) (Choice, bool) {
 	p.mu.Lock()
 	c := p.choose(now, candidates, r)
-	split, changed := p.splitChange(now, r.Pool.Name)
+	split, splitChanged := p.splitChange(now, r.Pool.Name)
+	zone, zoneChanged := p.zoneChange(now, r)
 	p.mu.Unlock()
-	if changed && p.OnSplit != nil {
+	if splitChanged && p.OnSplit != nil {
 		p.OnSplit(split)
 	}
+	if zoneChanged && p.OnZoneShare != nil {
+		p.OnZoneShare(zone)
+	}
 	return c, c.Upstream != nil
 }
 
-// choose returns the choice, one without an upstream if there is none. The caller holds p.mu.
-func (p *Picker) choose(now time.Time, candidates []*route.Upstream, r Request) Choice {
-	p.sweep(now)
-	stats := p.poolStats(r.Pool.Name)
-	lowest := stats.observeRank(now, r.Rank, r.LowestRank)
-	strict := p.strict(r.Pool, stats) && p.updateSplit(now, stats, candidates)
-	if r.Pool.Engine != nil {
-		p.updateReservation(now, &stats.reservation, candidates)
-	}
-	candidates = p.unpaused(now, candidates)
-	var preferred [preferredCount]string
-	if r.Pool.Engine != nil && !p.anyHolds(candidates, r, stats, strict) {
-		preferred = p.preferredByHash(now, candidates, r, stats, strict)
-	}
-	var best, excluded Choice
-	bestCost, excludedCost := math.Inf(1), math.Inf(1)
-	running := 0
-	for _, u := range candidates {
-		if r.Avoid[u.ID] {
-			continue
-		}
-		s := p.state(now, u)
-		c, cost := p.score(now, u, s, r, slices.Index(preferred[:], u.ID))
-		running += c.Running
-		if strict {
-			cost += stats.splitCost(r, c, stats.split.holds(s))
-		} else {
-			cost += reservationCost(r, c, stats.reservation.holds(s))
-		}
-		cost += p.random() * (jitter.Seconds() + relativeJitter*math.Abs(cost))
-		switch {
-		case now.Before(s.excludedUntil):
-			if cost < excludedCost {
-				excluded, excludedCost = c, cost
-			}
-		case cost < bestCost:
-			best, bestCost = c, cost
-		}
-	}
-	if best.Upstream == nil {
-		best = excluded
+// sideCost returns the cost in seconds that the split of the pool adds to a choice.
+func (ps *poolStats) sideCost(r Request, c Choice, s *state, strict bool) float64 {
+	if strict {
+		return ps.splitCost(r, c, ps.split.holds(s))
 	}
-	best.HasLowestRank = lowest
-	stats.reservation.observePool(running)
-	return best
+	return reservationCost(r, c, ps.reservation.holds(s))
 }
 
 // score returns the choice of an upstream and its cost in seconds. The position of the
 // upstream among the preferred ones is negative if it is none of them.
-func (p *Picker) score(now time.Time, u *route.Upstream, s *state, r Request, preferred int) (Choice, float64) {
-	stats := p.poolStats(r.Pool.Name)
+func (p *Picker) score(now time.Time, u *route.Upstream, s *state, r Request, stats *poolStats, preferred int) (Choice, float64) {
 	peers := s.peerCounts(now)
 	c := Choice{Upstream: u, Running: s.running + peers.Running, Pending: s.pendingFor(r.Rank) + peers.Pending, PeersAge: peers.age}
 	if s.loadFresh(now) {
 		c.Running = max(c.Running, s.reportedRunning+s.reportedWaiting)
 	}
-	cost := p.networkDelaySeconds(u.Zone)
+	cost := p.delayTo(u, s)
 	slowdown, relative := stats.speeds.slowdowns(now, &s.speed)
 	c.slowdown = slowdown
 	slow := slowdown * s.slowness(now)
@@ -239,6 +209,18 @@
 	return time.Duration(s * float64(time.Second))
 }
 
+// delayTo returns the time that the network adds to a request to an upstream.
+func (p *Picker) delayTo(u *route.Upstream, s *state) float64 {
+	switch p.distanceTo(u, s) {
+	case sameZone:
+		return 0
+	case sameRegion:
+		return p.connectSeconds[u.Zone]
+	default:
+		return crossRegionRoundTrips * p.connectSeconds[u.Zone]
+	}
+}
+
 // networkDelaySeconds returns the time that the network adds to a request to the
 // zone.
 func (p *Picker) networkDelaySeconds(zone string) float64 {
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// BenchmarkChooseStrict times a choice among upstreams in six zones that state their speed, in
+// a pool that is split.
+func BenchmarkChooseStrict(b *testing.B) {
+	us, now, p := upstreams(300), time.Unix(1000, 0), newPicker()
+	p.Strict = true
+	for i, u := range us {
+		u.Zone = fmt.Sprint("z", i%6)
+		p.Begin(now, newRequest(1, 2, 0), Choice{Upstream: u}).Slowdown(now, 1+0.1*float64(i%3))
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		r := shortRequest(2)
+		if i%2 == 0 {
+			r = longRequest(uint64(i % 100))
+		}
+		p.Choose(now.Add(time.Duration(i)*time.Millisecond), us, r)
+	}
+}
+
 // TestUnreachableKeepsParts checks that the cached parts of an upstream are kept
 // after a failure to connect, and dropped when another upstream has its address.
 func TestUnreachableKeepsParts(t *testing.T) {
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -40,6 +40,8 @@
 	log  float64 // slowdown in the latest answer that states one
 	mean float64 // moving average of these values
 	at   time.Time
+
+	inverseMean float64 // one divided by the slowdown of the mean
 }
 
 // speedAgeClass returns the class of an age.
@@ -68,7 +70,7 @@
 		st.differ[class] += max(speedDifferStep, 1/float64(st.pairs[class])) * (d*d - st.differ[class])
 		v.mean += speedOwnStep * (x - v.mean)
 	}
-	v.log, v.at = x, now
+	v.log, v.at, v.inverseMean = x, now, math.Exp(-v.mean)
 	st.updateWeights()
 }
 
@@ -102,8 +104,8 @@
 	if v.at.IsZero() {
 		return 1, 1
 	}
-	x := st.logSlowdown(now, v)
-	return math.Exp(x), math.Exp(x - v.mean)
+	slowdown = math.Exp(st.logSlowdown(now, v))
+	return slowdown, slowdown * v.inverseMean
 }
 
 // Slowdown records the time that work takes at the upstream now, relative to the usual time,
--- a/balancer/split.go
+++ b/balancer/split.go
@@ -15,7 +15,7 @@
 const (
 	strictMaxShare     = 0.65 // bound of the share of a pool that is reserved
 	strictUtilisation  = 0.25 // share of the slots of reserved upstreams that their streams shall take
-	strictReadShare    = 0.2 // share of the time of reserved upstreams that reading for their own streams may take
+	strictReadShare    = 0.2  // share of the time of reserved upstreams that reading for their own streams may take
 	otherReadShare     = 0.5  // share of the time of the other upstreams that reading may take
 	mostReadShare      = 0.7  // share of the time of any upstream that reading may take where room is short
 	strictSpareShare   = 0.1  // share of a pool that must be spare before it is split
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -52,6 +52,7 @@
 
 	speed    speed   // as stated in answers
 	splitKey float64 // position in the order of the split
+	distance distance
 }
 
 func newState(id string, born int64) *state {
@@ -173,6 +174,7 @@
 	reservation reservation
 	speeds      speedStats
 	split       split
+	zones       [2]zoneShares // by kind
 
 	hasGap           bool
 	logGap           float64   // weighted mean of the natural logarithms of the streams' median gaps in seconds
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -12,12 +12,23 @@
 	r := i.Settings.Routes
 	i.picker = balancer.New(i.Settings.Zone, r.Zones)
 	i.picker.Strict = r.HasFeature(setting.DutiesFeature) || r.HasFeature(setting.PressureFeature)
+	i.picker.ZoneCost, i.picker.RegionCost = r.ZoneCost, r.RegionCost
 	i.picker.OnSplit = func(s balancer.SplitState) {
 		i.Log.WithFields(logrus.Fields{
 			"Pool": s.Pool, "Reserved": s.Load.Reserved, "Upstreams": s.Load.Upstreams, "ShortStreams": int(s.Load.ShortStreams),
 			"ShortTokensPerSecond": int(s.Load.ShortRead), "OtherTokensPerSecond": int(s.Load.OtherRead), "MissedShare": s.Load.Missed,
 		}).Info("split of a pool changed")
 	}
+	i.picker.OnZoneShare = func(s balancer.ZoneState) {
+		fields := logrus.Fields{"Pool": s.Pool, "ShortestGap": s.ShortestGap, "Choices": s.Choices, "Left": s.Left}
+		for _, z := range s.Shares {
+			fields["Share."+z.Zone] = z.Share
+		}
+		i.Log.WithFields(fields).Info("requests to other zones changed")
+	}
+	i.zoneGauge("knapweedwell_zone_choices_total", func(s balancer.ZoneState) float64 { return float64(s.Choices) })
+	i.zoneGauge("knapweedwell_zone_left_total", func(s balancer.ZoneState) float64 { return float64(s.Left) })
+	i.metrics.Gauge("knapweedwell_zone_leaving_share_ratio", i.largestLeavingShare)
 	i.splitGauge("knapweedwell_split_reserved_upstreams", func(s balancer.SplitState) float64 { return float64(s.Load.Reserved) })
 	i.splitGauge("knapweedwell_split_upstreams", func(s balancer.SplitState) float64 { return float64(s.Load.Upstreams) })
 	i.splitGauge("knapweedwell_split_short_streams", func(s balancer.SplitState) float64 { return s.Load.ShortStreams })
@@ -37,6 +48,31 @@
 	})
 }
 
+// zoneGauge registers a gauge whose value is the sum over all pools of engines.
+func (i *Instance) zoneGauge(name string, value func(balancer.ZoneState) float64) {
+	i.metrics.Gauge(name, func() float64 {
+		sum := 0.0
+		for _, s := range i.picker.ZoneStates() {
+			sum += value(s)
+		}
+		return sum
+	})
+}
+
+// largestLeavingShare returns the largest share of one kind of requests that is sent to other
+// zones by decision.
+func (i *Instance) largestLeavingShare() float64 {
+	largest := 0.0
+	for _, s := range i.picker.ZoneStates() {
+		sum := 0.0
+		for _, z := range s.Shares {
+			sum += z.Share
+		}
+		largest = max(largest, sum)
+	}
+	return largest
+}
+
 // meanSlowdown returns the mean of the slowdowns that upstreams state, one if none do.
 func (i *Instance) meanSlowdown() float64 {
 	sum, n := 0.0, 0
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -24,6 +24,8 @@
 	notRunRetryAfter  = 250 * time.Millisecond  // advised when no upstream ran the request
 	memoryRetryAfter  = time.Second             // advised by an instance without memory for the body
 
+	answerTokenBytes = 40 // bytes of an answer for each token, with the lines of its event
+
 	answerMargin = 15 * time.Millisecond // the upstream's deadline is this much before the caller's, so that its answer at its deadline can arrive
 )
 
@@ -130,6 +132,7 @@
 	return balancer.Request{
 		Pool: rs.pool, Rank: rs.rank, LowestRank: rs.table.LowestRank(rs.pool.Name), Prompt: &rs.headers.Prompt,
 		GapAim: rs.route.GapAim, ShortestGap: rs.table.HasShortestGap(rs.route, rs.pool.Name), Avoid: rs.avoidNow(now),
+		Bytes: len(rs.body) + answerTokenBytes*rs.headers.Prompt.MaxOutputTokens,
 	}
 }
 
