Give hot prompt parts more copies

Change: where the strict split may apply, the weight falls once the recent uses of a part bring each known holder more than the mean of all requests, until there are more holders.

--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -154,8 +154,9 @@
 }
 
 // score returns the choice of an upstream and its cost in seconds. The position of the
-// upstream among the preferred ones is negative if it is none of them.
-func (p *Picker) score(now time.Time, u *route.Upstream, s *state, r Request, stats *poolStats, preferred int) (Choice, float64) {
+// upstream among the preferred ones is negative if it is none of them. The weight is that of
+// reading a token that the upstream does not hold.
+func (p *Picker) score(now time.Time, u *route.Upstream, s *state, r Request, stats *poolStats, preferred int, weight float64) (Choice, float64) {
 	peers := s.peerCounts(now)
 	c := Choice{Upstream: u, Running: s.running + peers.Running, Pending: s.pendingFor(r.Rank) + peers.Pending, PeersAge: peers.age}
 	if s.loadFresh(now) {
@@ -176,7 +177,7 @@
 		c.Wait = seconds(stats.perTokenSeconds * slow * float64(c.Pending))
 		cost += stats.baseSeconds*slow + read
 		c.Predicted = seconds(cost)
-		cost += (readWeight - 1) * stats.perTokenSeconds * float64(toRead)
+		cost += (weight - 1) * stats.perTokenSeconds * float64(toRead)
 		cost += missedGapCost.Seconds() * stats.gapMissShare(r.GapAim, relative*s.gapRatio(now))
 	} else {
 		cost += stats.serviceSeconds * slow
@@ -235,15 +236,14 @@
 }
 
 // anyHolds reports whether a candidate is known to hold the shared parts of the
-// prompt. It is true for a prompt without shared parts. In a strict split only the
-// upstreams on the side of the request count.
-func (p *Picker) anyHolds(candidates []*route.Upstream, r Request, stats *poolStats, strict bool) bool {
-	shared := r.Prompt.Shared()
+// prompt. It is true for a prompt without shared parts.
+func (p *Picker) anyHolds(candidates []*route.Upstream, prompt *request.Prompt) bool {
+	shared := prompt.Shared()
 	if len(shared) == 0 {
 		return true
 	}
 	for _, u := range candidates {
-		if s := p.states[u.ID]; s != nil && s.born == u.Born && s.cache.holds(shared) && (!strict || stats.onSide(r, s)) {
+		if s := p.states[u.ID]; s != nil && s.born == u.Born && s.cache.holds(shared) {
 			return true
 		}
 	}
--- a/balancer/selection.go
+++ b/balancer/selection.go
@@ -20,6 +20,9 @@
 	drawn     string // other zone to which the request may go without a margin
 	preferred [preferredCount]string
 
+	hot        *hotParts
+	readWeight float64 // weight of reading a token that the upstream does not hold
+
 	best, excluded         Choice
 	bestCost, excludedCost float64
 	running                int
@@ -29,7 +32,7 @@
 func (p *Picker) choose(now time.Time, candidates []*route.Upstream, r Request) Choice {
 	p.sweep(now)
 	stats := p.poolStats(r.Pool.Name)
-	sel := selection{now: now, stats: stats, bestCost: math.Inf(1), excludedCost: math.Inf(1)}
+	sel := selection{now: now, stats: stats, readWeight: readWeight, bestCost: math.Inf(1), excludedCost: math.Inf(1)}
 	lowest := stats.observeRank(now, r.Rank, r.LowestRank)
 	sel.zoned = p.strict(r.Pool, stats)
 	sel.split = sel.zoned && p.updateSplit(now, stats, candidates)
@@ -37,7 +40,8 @@
 		p.updateReservation(now, &stats.reservation, candidates)
 	}
 	candidates = p.unpaused(now, candidates)
-	if r.Pool.Engine != nil && !p.anyHolds(candidates, r, stats, sel.split) {
+	sel.hot = &stats.hot[kind(r.ShortestGap)]
+	if r.Pool.Engine != nil && !p.findHolders(&sel, candidates, r) {
 		sel.preferred = p.preferredByHash(now, candidates, r, stats, sel.split)
 	}
 	sel.zones = &stats.zones[kind(r.ShortestGap)]
@@ -63,10 +67,40 @@
 	return sel.best
 }
 
+// findHolders reports whether a candidate is known to hold the shared parts of the prompt, as
+// anyHolds. Where the strict split may apply, only upstreams on the side of the request count,
+// and the weight of reading the parts follows from the number of holders.
+func (p *Picker) findHolders(sel *selection, candidates []*route.Upstream, r Request) bool {
+	if !sel.zoned {
+		return p.anyHolds(candidates, r.Prompt)
+	}
+	shared := r.Prompt.Shared()
+	if len(shared) == 0 {
+		return true
+	}
+	upstreams, copies := 0, 0
+	for _, u := range candidates {
+		s := p.states[u.ID]
+		if s == nil || s.born != u.Born || (sel.split && !sel.stats.onSide(r, s)) {
+			continue
+		}
+		upstreams++
+		if s.cache.holds(shared) {
+			copies++
+		}
+	}
+	part := shared[len(shared)-1].ID
+	sel.hot.add(sel.now, part)
+	if float64(sharedTokens(r.Prompt)) >= strictLongShare*stepTokens {
+		sel.readWeight = sel.hot.weight(sel.now, part, upstreams, copies)
+	}
+	return copies > 0
+}
+
 // consider compares a candidate with the best one so far.
 func (p *Picker) consider(sel *selection, u *route.Upstream, r Request) {
 	s := p.state(sel.now, u)
-	c, cost := p.score(sel.now, u, s, r, sel.stats, slices.Index(sel.preferred[:], u.ID))
+	c, cost := p.score(sel.now, u, s, r, sel.stats, slices.Index(sel.preferred[:], u.ID), sel.readWeight)
 	sel.running += c.Running
 	cost += sel.stats.sideCost(r, c, s, sel.split)
 	if sel.zoned {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -175,6 +175,7 @@
 	speeds      speedStats
 	split       split
 	zones       [2]zoneShares // by kind
+	hot         [2]hotParts   // by kind
 
 	hasGap           bool
 	logGap           float64   // weighted mean of the natural logarithms of the streams' median gaps in seconds
