--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -96,14 +96,15 @@
 	// decision, at most once a second for each kind of them. It may be nil.
 	OnZoneShare func(ZoneState)
 
-	mu             sync.Mutex
-	states         map[string]*state
-	pools          map[string]*poolStats
-	connectSeconds map[string]float64  // seconds to connect, by zone
-	peerStates     map[string][]*state // states that hold counts of a peer, by its name
-	placements     []Placement         // parts sent to upstreams since the last report
-	sweptAt        time.Time
-	lastPauseEnd   time.Time // no upstream is paused from then on
+	mu              sync.Mutex
+	states          map[string]*state
+	pools           map[string]*poolStats
+	connectSeconds  map[string]float64  // seconds to connect, by zone
+	peerStates      map[string][]*state // states that hold counts of a peer, by its name
+	candidateStates []*state            // states of the candidates of the choice in progress
+	placements      []Placement         // parts sent to upstreams since the last report
+	sweptAt         time.Time
+	lastPauseEnd    time.Time // no upstream is paused from then on
 }
 
 // New returns a picker for an instance of the zone.
@@ -257,21 +258,21 @@
 // chosen.
 // They are not reserved upstreams, unless the request is one of those for which these
 // are reserved. In a strict split they are on the side of the request.
-func (p *Picker) preferredByHash(now time.Time, candidates []*route.Upstream, r Request, stats *poolStats, strict bool) [preferredCount]string {
+func (p *Picker) preferredByHash(sel *selection, candidates []*route.Upstream, r Request) [preferredCount]string {
 	shared := r.Prompt.Shared()
 	part := shared[len(shared)-1].ID
 	var best [preferredCount]string
 	var top [preferredCount]uint64
-	for _, u := range candidates {
-		s := p.state(now, u)
-		if (!strict && !r.ShortestGap && stats.reservation.holds(s)) || (strict && !stats.onSide(r, s)) {
+	for i, u := range candidates {
+		s := p.stateOf(sel, i, u)
+		if (!sel.split && !r.ShortestGap && sel.stats.reservation.holds(s)) || (sel.split && !sel.stats.onSide(r, s)) {
 			continue
 		}
 		id, h := u.ID, mix(s.hash^part)
-		for i := range best {
-			if best[i] == "" || h > top[i] {
-				best[i], id = id, best[i]
-				top[i], h = h, top[i]
+		for j := range best {
+			if best[j] == "" || h > top[j] {
+				best[j], id = id, best[j]
+				top[j], h = h, top[j]
 			}
 			if id == "" {
 				break
--- a/balancer/selection.go
+++ b/balancer/selection.go
@@ -20,6 +20,8 @@
 	drawn     string // other zone to which the request may go without a margin
 	preferred [preferredCount]string
 
+	states []*state // states of the candidates, nil if they are looked up one by one
+
 	hot        *hotParts
 	readWeight float64 // weight of reading a token that the upstream does not hold
 
@@ -42,15 +44,15 @@
 	candidates = p.unpaused(now, candidates)
 	sel.hot = &stats.hot[kind(r.ShortestGap)]
 	if r.Pool.Engine != nil && !p.findHolders(&sel, candidates, r) {
-		sel.preferred = p.preferredByHash(now, candidates, r, stats, sel.split)
+		sel.preferred = p.preferredByHash(&sel, candidates, r)
 	}
 	sel.zones = &stats.zones[kind(r.ShortestGap)]
 	if sel.zoned {
 		sel.zonesDue, sel.drawn = sel.zones.due(now), sel.zones.drawZone(p.random())
 	}
-	for _, u := range candidates {
+	for i, u := range candidates {
 		if !r.Avoid[u.ID] {
-			p.consider(&sel, u, r)
+			p.consider(&sel, u, p.stateOf(&sel, i, u), r)
 		}
 	}
 	if sel.best.Upstream == nil {
@@ -67,6 +69,14 @@
 	return sel.best
 }
 
+// stateOf returns the state of the candidate with the index.
+func (p *Picker) stateOf(sel *selection, i int, u *route.Upstream) *state {
+	if sel.states != nil {
+		return sel.states[i]
+	}
+	return p.state(sel.now, u)
+}
+
 // findHolders reports whether a candidate is known to hold the shared parts of the prompt, as
 // anyHolds. Where the strict split may apply, only upstreams on the side of the request count,
 // and the weight of reading the parts follows from the number of holders.
@@ -74,14 +84,18 @@
 	if !sel.zoned {
 		return p.anyHolds(candidates, r.Prompt)
 	}
+	p.candidateStates = p.candidateStates[:0]
+	for _, u := range candidates {
+		p.candidateStates = append(p.candidateStates, p.state(sel.now, u))
+	}
+	sel.states = p.candidateStates
 	shared := r.Prompt.Shared()
 	if len(shared) == 0 {
 		return true
 	}
 	upstreams, copies := 0, 0
-	for _, u := range candidates {
-		s := p.states[u.ID]
-		if s == nil || s.born != u.Born || (sel.split && !sel.stats.onSide(r, s)) {
+	for _, s := range sel.states {
+		if sel.split && !sel.stats.onSide(r, s) {
 			continue
 		}
 		upstreams++
@@ -98,8 +112,7 @@
 }
 
 // consider compares a candidate with the best one so far.
-func (p *Picker) consider(sel *selection, u *route.Upstream, r Request) {
-	s := p.state(sel.now, u)
+func (p *Picker) consider(sel *selection, u *route.Upstream, s *state, r Request) {
 	c, cost := p.score(sel.now, u, s, r, sel.stats, slices.Index(sel.preferred[:], u.ID), sel.readWeight)
 	sel.running += c.Running
 	cost += sel.stats.sideCost(r, c, s, sel.split)
