--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// BenchmarkChooseStrict times a choice among upstreams in six zones that state their speed, in
+// a pool that is split.
+func BenchmarkChooseStrict(b *testing.B) {
+	us, now, p := upstreams(300), time.Unix(1000, 0), newPicker()
+	p.Strict = true
+	for i, u := range us {
+		u.Zone = fmt.Sprint("z", i%6)
+		p.Begin(now, newRequest(1, 2, 0), Choice{Upstream: u}).Slowdown(now, 1+0.1*float64(i%3))
+	}
+	requests := []Request{shortRequest(2), longRequest(2)}
+	b.ReportAllocs()
+	for i := range b.N {
+		p.Choose(now.Add(time.Duration(i)*time.Millisecond), us, requests[i%2])
+	}
+}
+
 // TestUnreachableKeepsParts checks that the cached parts of an upstream are kept
 // after a failure to connect, and dropped when another upstream has its address.
 func TestUnreachableKeepsParts(t *testing.T) {
