--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -235,6 +235,9 @@
 		want[Reclaimable] = spare
 		reason = "reclaimable ones cost less"
 	}
+	if z.Present[Ordinary] > coming[Ordinary] || z.Present[Reclaimable] > coming[Reclaimable] {
+		return want, reason // the effect of the last return is not known yet
+	}
 	// Only reclaimable upstreams that serve already replace ordinary ones.
 	serving := [kinds]int{min(z.Present[Ordinary], coming[Ordinary]), min(z.Present[Reclaimable], coming[Reclaimable])}
 	step := max((serving[Ordinary]+serving[Reclaimable])/giveBackPart, 1)
--- a/scaling/script_test.go
+++ b/scaling/script_test.go
@@ -20,7 +20,8 @@
 	engines        int // at the start, spread over the zones
 	bounds         route.Scaling
 	tokensPerMilli float64
-	unknown        bool // whether the decision is not told the speed of the engines
+	told           float64 // speed that the decision is told
+	unknown        bool    // whether the decision is not told the speed of the engines
 	slots          int
 	length         time.Duration
 	inTimeOfKept   float64 // least share of requests in time, relative to a run without orders
@@ -81,6 +82,7 @@
 			l.engines, l.slots = int(number("Engines")), int(number("Slots"))
 			l.bounds.Min, l.bounds.Max = int(number("Min")), int(number("Max"))
 			l.bounds.StartTime, l.bounds.ReclaimablePrice = seconds("StartSeconds"), number("ReclaimablePrice")
+			l.told = number("ToldTokensPerMilli")
 			l.tokensPerMilli, l.unknown, l.length = number("TokensPerMilli"), r.Text("Unknown", "") == "true", seconds("Seconds")
 			l.inTimeOfKept, l.costOfKept = number("InTimeOfKept"), number("CostOfKept")
 		case "Wave":
@@ -299,7 +301,11 @@
 			in.Speed.Aim, in.Speed.GapAim = c.aim, c.gap
 		}
 	}
-	if !m.unknown {
+	switch {
+	case m.unknown:
+	case m.told > 0:
+		in.Speed.TokenSeconds = 1 / m.told / 1000
+	default:
 		in.Speed.TokenSeconds = 1 / m.tokensPerMilli / 1000
 	}
 	for _, z := range m.zones {
--- a/scaling/state.go
+++ b/scaling/state.go
@@ -48,10 +48,16 @@
 	maxTrend      = 1.0              // bound of an expected rise beyond the highest demand seen, relative to the demand
 	failureTime   = 60 * time.Second // time for which a load counts as too high
 	failureMargin = 0.9              // part of a load that was too high which an upstream can take
-	minLatePart   = 0.5              // part of the assumed capacity below which lateness has other causes
+	minLatePart   = 0.8              // part of the assumed capacity below which lateness may have other causes
+	overWorked    = 1.05             // ratio to the highest load that worked from which it has not
 	untried       = 2.0              // ratio to the highest load that worked which an upstream is assumed to take
 	lateSteps     = 2                // late samples in a row from which a load counts as too high
-	minStreams    = 5                // streams a second from which shares of them are used
+
+	// With slightly late streams, a load counts as too high later, and somewhat more of it as possible.
+	slightlyLateSteps = 6
+	slightlyLatePart  = 1.2
+
+	minStreams = 5 // streams a second from which shares of them are used
 )
 
 // State is what the decisions for one pool remember while this instance holds the lease. It
@@ -199,7 +205,7 @@
 	for i := range each {
 		each[i] = s.smooth[i] / float64(present)
 	}
-	if !s.isLate(lateHigh) {
+	if !s.isLate(lateMargin) {
 		s.lateRun = 0
 		if s.late <= max(s.quietLate+workedMargin, workedLate) {
 			for i := range each {
@@ -212,11 +218,26 @@
 		return
 	}
 	s.lateRun++
+	s.recordFailure(now, in, each)
+}
+
+// recordFailure records the present load of an upstream as too high if streams are late for some
+// time and the load explains it: it is near what is assumed possible, or higher than what worked.
+func (s *State) recordFailure(now time.Time, in Input, each load) {
+	steps, possible := lateSteps, 1.0
+	if !s.isLate(lateHigh) {
+		steps, possible = slightlyLateSteps, slightlyLatePart
+	}
 	capacity := s.assumed(in)
 	busy, dimension := capacity.busy(each)
-	if s.lateRun >= lateSteps && busy >= minLatePart && (s.failed[dimension] == 0 || each[dimension] < s.failed[dimension]) {
-		s.failed[dimension], s.failedAt = each[dimension], now
+	if ratio, i := s.worked.busy(each); busy < minLatePart && ratio > overWorked {
+		busy, dimension = ratio, i
+	}
+	possible *= each[dimension]
+	if s.lateRun < steps || busy < minLatePart || (s.failed[dimension] > 0 && possible >= s.failed[dimension]) {
+		return
 	}
+	s.failed[dimension], s.failedAt, s.lateRun = possible, now, 0
 }
 
 // isSettling reports whether more upstreams are ordered and do not serve yet, so that the present
