Show the scaling decisions to operators and describe them

Cause: decisions on upstreams have to be visible, and engines' reading speed is known to the balancer only.

--- a/balancer/state.go
+++ b/balancer/state.go
@@ -169,6 +169,8 @@
 
 	reservation reservation
 
+	readSamples, readsBelow, serviceSamples int // see Measured
+
 	hasGap           bool
 	logGap           float64   // weighted mean of the natural logarithms of the streams' median gaps in seconds
 	recentGapSeconds []float64 // longest gaps of the most recent streams, in a ring
@@ -205,7 +207,9 @@
 func (ps *poolStats) observeFirstToken(elapsedSeconds float64, missing int, alone bool) {
 	switch {
 	case missing >= longPromptTokens && alone:
-		ps.perTokenSeconds = updateQuantile(ps.perTokenSeconds, math.Max(elapsedSeconds-ps.baseSeconds, 0)/float64(missing), lowQuantile)
+		observed := math.Max(elapsedSeconds-ps.baseSeconds, 0) / float64(missing)
+		ps.countRead(observed)
+		ps.perTokenSeconds = updateQuantile(ps.perTokenSeconds, observed, lowQuantile)
 	case missing < longPromptTokens:
 		ps.baseSeconds = updateQuantile(ps.baseSeconds, math.Max(elapsedSeconds-ps.perTokenSeconds*float64(missing), minBaseSeconds), lowQuantile)
 	}
@@ -213,6 +217,7 @@
 
 // observeServiceTime updates the service time from that of one request.
 func (ps *poolStats) observeServiceTime(elapsedSeconds float64) {
+	ps.serviceSamples++
 	ps.serviceSeconds += learnStep * (elapsedSeconds - ps.serviceSeconds)
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,6 +29,7 @@
 	"knapweedwell/roster"
 	"knapweedwell/route"
 	"knapweedwell/routing"
+	"knapweedwell/scaling"
 	"knapweedwell/setting"
 	"knapweedwell/verdictstore"
 )
@@ -65,6 +66,7 @@
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
+	Scaling    *scaling.Service // nil without the duty
 
 	kernel      *kernel.Kernel
 	store       *platform.Client
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -10,6 +10,7 @@
 	"knapweedwell/member"
 	"knapweedwell/operator"
 	"knapweedwell/quarantine"
+	"knapweedwell/scaling"
 	"knapweedwell/webserver"
 )
 
@@ -37,6 +38,9 @@
 func (o *operatorServer) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	o.instance.metrics.Write(w)
+	if s := o.instance.Scaling; s != nil {
+		s.WriteMetrics(w)
+	}
 	operator.WriteInvariants(w, o.instance.Check.Counts())
 }
 
@@ -54,6 +58,7 @@
 	Upstreams    int
 	Leaving      []string
 	Quarantine   []Verdict
+	Scaling      *scaling.Status // nil without the duty
 }
 
 // Verdict is a verdict on a prompt part, or on a whole request, that is in force.
@@ -80,5 +85,9 @@
 	for _, v := range i.Quarantine.Verdicts(time.Now()) {
 		s.Quarantine = append(s.Quarantine, Verdict{Part: quarantine.TraitName(v.Trait), Since: v.At, Until: v.Until, Crashes: v.Crashes, Whole: v.Whole})
 	}
+	if i.Scaling != nil {
+		scaled := i.Scaling.Status()
+		s.Scaling = &scaled
+	}
 	webserver.WriteJSON(w, s)
 }
