--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -222,3 +222,34 @@
 	assert.Equal(t, in.Zones[0].Present[Ordinary], 3)
 	assert.Equal(t, in.Zones[1].Present[Ordinary], 3)
 }
+
+// TestTrend guards against a demand that rises for longer than an upstream takes to start and that
+// is answered only once the headroom is used up, and against a step that is taken for a trend.
+func TestTrend(t *testing.T) {
+	firstOrder := func(demand func(second int) float64) int {
+		s, in := NewState(epoch), quietInput()
+		for j := range in.Zones {
+			in.Zones[j].Present[Ordinary] = 9 // serve 1.7 times the demand of the start
+		}
+		for i := range 60 {
+			in.Demand.ReadTokens, in.Demand.Begun = 250_000*demand(i), 80*demand(i)
+			for _, o := range s.Decide(epoch.Add(time.Duration(i)*time.Second), in).Orders {
+				if o.Count > o.Present {
+					return i
+				}
+			}
+		}
+		return 60
+	}
+	ramp := firstOrder(func(i int) float64 { return 1 + 0.05*float64(max(i-10, 0)) })
+	// The demand at the order and 5 s of its rise are served by what is present.
+	busy := 250_000 * 26e-6 / 0.62 * (1 + 0.05*float64(ramp-10+5))
+	assert.Assert(t, busy <= 18.0, "first order after %d s, when %.1f of 18 engines will be needed", ramp, busy)
+	step := firstOrder(func(i int) float64 {
+		if i < 10 {
+			return 1
+		}
+		return 1.15
+	})
+	assert.Equal(t, step, 60)
+}
--- a/scaling/script_test.go
+++ b/scaling/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sort"
@@ -28,6 +29,7 @@
 	costOfKept     float64 // largest cost, relative to a run without orders
 	waveSwing      float64
 	wavePeriod     time.Duration
+	random         *rand.Rand // of the arrivals; nil for a steady stream
 	zones          []*modelZone
 	classes        []class
 	bursts         []phase
@@ -82,6 +84,9 @@
 			l.engines, l.slots = int(number("Engines")), int(number("Slots"))
 			l.bounds.Min, l.bounds.Max = int(number("Min")), int(number("Max"))
 			l.bounds.StartTime, l.bounds.ReclaimablePrice = seconds("StartSeconds"), number("ReclaimablePrice")
+			if seed := number("Seed"); seed > 0 {
+				l.random = rand.New(rand.NewPCG(uint64(seed), 1))
+			}
 			l.told = number("ToldTokensPerMilli")
 			l.tokensPerMilli, l.unknown, l.length = number("TokensPerMilli"), r.Text("Unknown", "") == "true", seconds("Seconds")
 			l.inTimeOfKept, l.costOfKept = number("InTimeOfKept"), number("CostOfKept")
@@ -127,6 +132,8 @@
 	*script
 	at      time.Duration
 	backlog float64 // engine seconds of work that nobody has begun
+	// arrivals are the requests of the present step, by class.
+	arrivals []float64
 
 	begun, inTime, cost float64
 	window              Demand // sums over the last second
@@ -156,6 +163,18 @@
 	return f
 }
 
+// arriving returns the requests of one step: the mean, or a random number of a Poisson process.
+func (m *model) arriving(mean float64) float64 {
+	if m.random == nil {
+		return mean
+	}
+	n := 0.0
+	for t := m.random.ExpFloat64(); t < mean; t += m.random.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
 // applyFaults begins and ends losses and reclaims.
 func (m *model) applyFaults() {
 	for _, z := range m.zones {
@@ -212,9 +231,11 @@
 // serve runs one step of the demand.
 func (m *model) serve() {
 	demand, engines, reachable := 0.0, 0.0, 0
+	m.arrivals = m.arrivals[:0]
 	for i := range m.classes {
 		c := &m.classes[i]
-		demand += c.perSecond * m.factor(c) * c.readTokens / m.tokensPerMilli / 1000
+		m.arrivals = append(m.arrivals, m.arriving(c.perSecond*m.factor(c)*modelStep.Seconds()))
+		demand += m.arrivals[i] / modelStep.Seconds() * c.readTokens / m.tokensPerMilli / 1000
 	}
 	for _, z := range m.zones {
 		n := z.serving[Ordinary] + z.serving[Reclaimable]
@@ -271,7 +292,7 @@
 	piece := pieceTokens / m.tokensPerMilli / 1000
 	for i := range m.classes {
 		c := &m.classes[i]
-		n := c.perSecond * m.factor(c) * share * modelStep.Seconds()
+		n := m.arrivals[i] * share
 		read := c.readTokens / m.tokensPerMilli / 1000
 		mean := used / (2 * (1 - used)) * 2 * piece
 		lateFirst := 1.0
