Give nothing back before two windows of demand after a gap in the sums

Cause: the time was counted from the start of the holder, also while its sums were stale. Change: it is counted from the first of the samples without a gap; TestHoldsWithoutDemand covers it.

--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -50,7 +50,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, in := NewState(epoch), quietInput()
+			s, in := NewState(), quietInput()
 			decideFor(s, in, 0, 5)
 			change(&in)
 			in.Demand.ReadTokens *= 50
@@ -59,17 +59,24 @@
 			assert.Assert(t, d.Hold != "")
 		})
 	}
-	s, in := NewState(epoch), quietInput()
-	d := decideFor(s, in, 0, 6)
+	// Two windows of demand pass after each gap in the sums.
+	s, in := NewState(), quietInput()
+	d := decideFor(s, in, 0, 4)
 	assert.Equal(t, len(d.Orders), 0, "%+v", d)
-	d = decideFor(s, in, 6, 2)
+	in.Demand.Covered = 0
+	d = decideFor(s, in, 4, 5)
+	in.Demand.Covered = 1
+	assert.Equal(t, len(d.Orders), 0, "%+v", d)
+	d = decideFor(s, in, 9, 6)
+	assert.Equal(t, len(d.Orders), 0, "%+v", d)
+	d = decideFor(s, in, 15, 2)
 	assert.Equal(t, len(d.Orders), 2, "%+v", d)
 }
 
 // TestNeverBelowHeadroom guards against returns that leave less than 1.7 times the demand of a
 // zone, also of one with most of the callers.
 func TestNeverBelowHeadroom(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	in.Demand.Zones = map[string]float64{"east-a": 0.8, "west-a": 0.2}
 	for i := range 60 {
 		now := epoch.Add(time.Duration(i) * time.Second)
@@ -92,7 +99,7 @@
 // TestRefusedOrder guards against a need that is ordered again and again where none are
 // available, and never elsewhere.
 func TestRefusedOrder(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	in.Zones = append(in.Zones, Zone{Name: "west-b", Region: "west", Price: 0.5, Callers: 1, Present: [kinds]int{20, 0}})
 	in.Zones[1].Present[Ordinary] = 0
 	in.Demand.ReadTokens *= 6
@@ -117,7 +124,7 @@
 
 // TestUnfollowedOrder guards against waiting for upstreams that were ordered and never come.
 func TestUnfollowedOrder(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	in.Zones[1].Present[Ordinary] = 0
 	in.Demand.ReadTokens *= 6
 	orders, repeats, elsewhere := 0, 0, 0
@@ -144,7 +151,7 @@
 // TestReclaimLeavesEnough guards against so many reclaimable upstreams that a reclaim of all
 // leaves too few.
 func TestReclaimLeavesEnough(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	in.Pool.Scaling.ReclaimablePrice = 0.22
 	in.Demand.ReadTokens *= 6
 	used := 0
@@ -176,7 +183,7 @@
 
 // TestExpensiveReclaimable guards against a restart of upstreams that saves next to nothing.
 func TestExpensiveReclaimable(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	in.Pool.Scaling.ReclaimablePrice = 0.9
 	for i := range 30 {
 		for _, o := range s.Decide(epoch.Add(time.Duration(i)*time.Second), in).Orders {
@@ -188,7 +195,7 @@
 // TestLatenessWithOtherCauses guards against orders without end for streams that are late however
 // many upstreams there are.
 func TestLatenessWithOtherCauses(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	for i := range 120 {
 		in.Demand.LateGap = 0.3
 		if i > 30 {
@@ -203,7 +210,7 @@
 
 // TestPlainService guards against a plain service that is given back although its slots are in use.
 func TestPlainService(t *testing.T) {
-	s, in := NewState(epoch), quietInput()
+	s, in := NewState(), quietInput()
 	in.Pool.Engine = nil
 	in.Demand = Demand{Begun: 100, Age: time.Second, Covered: 1}
 	in.Speed = Speed{RequestSeconds: 0.1, Slots: 6}
@@ -227,7 +234,7 @@
 // is answered only once the headroom is used up, and against a step that is taken for a trend.
 func TestTrend(t *testing.T) {
 	firstOrder := func(demand func(second int) float64) int {
-		s, in := NewState(epoch), quietInput()
+		s, in := NewState(), quietInput()
 		for j := range in.Zones {
 			in.Zones[j].Present[Ordinary] = 9 // serve 1.7 times the demand of the start
 		}
--- a/scaling/script_test.go
+++ b/scaling/script_test.go
@@ -349,7 +349,7 @@
 		z.serving[Ordinary] = (m.engines + i) / len(m.zones)
 	}
 	start := time.Unix(1_700_000_000, 0)
-	s := NewState(start)
+	s := NewState()
 	for m.at = 0; m.at < m.length; m.at += modelStep {
 		m.applyFaults()
 		m.serve()
--- a/scaling/service.go
+++ b/scaling/service.go
@@ -147,7 +147,7 @@
 		name := in.Pool.Name
 		state := s.states[name]
 		if state == nil {
-			state = NewState(now)
+			state = NewState()
 		}
 		states[name] = state
 		d := state.Decide(now, in)
--- a/scaling/service_test.go
+++ b/scaling/service_test.go
@@ -271,7 +271,7 @@
 func BenchmarkDecide(b *testing.B) {
 	m := newPlatformModel(1, 7, 2000)
 	in := m.service.inputs(m.now, m.table, m.roster)[0]
-	s := NewState(m.now)
+	s := NewState()
 	b.ReportAllocs()
 	for b.Loop() {
 		m.now = m.now.Add(time.Second)
--- a/scaling/state.go
+++ b/scaling/state.go
@@ -63,7 +63,8 @@
 // State is what the decisions for one pool remember while this instance holds the lease. It
 // begins with what is present.
 type State struct {
-	startedAt   time.Time
+	startedAt   time.Time // of the samples without a gap
+	observedAt  time.Time
 	samples     []sample
 	smooth      load
 	highest     load    // of all samples
@@ -81,8 +82,8 @@
 }
 
 // NewState returns the state at the start, or after a change of the holder.
-func NewState(now time.Time) *State {
-	return &State{startedAt: now, placed: map[key]placed{}, refused: map[key]time.Time{}, givenBackAt: map[string]time.Time{}, reasons: map[string]string{}}
+func NewState() *State {
+	return &State{placed: map[key]placed{}, refused: map[key]time.Time{}, givenBackAt: map[string]time.Time{}, reasons: map[string]string{}}
 }
 
 // Accepted records that the platform accepted an order.
@@ -169,6 +170,10 @@
 	if d.Begun < minStreams {
 		late = 0
 	}
+	if now.Sub(s.observedAt) > maxAge {
+		s.startedAt = now
+	}
+	s.observedAt = now
 	if len(s.samples) == 0 {
 		s.smooth, s.late, s.quietLate = current, late, late
 	}
