Connect the scaling to the platform's API and the usage

Cause: the decision had interfaces only. Change: edge/scaling.go maps orders to calls of platform.API and sums of package usage to shares of late streams; bounds that change alone give their reason.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -1,21 +1,29 @@
 package edge
 
 import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
 	"knapweedwell/member"
+	"knapweedwell/platform"
 	"knapweedwell/scaling"
 	"knapweedwell/setting"
+	"knapweedwell/usage"
 )
 
 // buildScaling builds the service that orders upstreams, if the platform names that duty.
-func (i *Instance) buildScaling(lease scaling.Lease, orders scaling.Orderer, demand scaling.DemandSource) {
+// It is called once the lease of the duties, the API and the usage are built.
+func (i *Instance) buildScaling(lease scaling.Lease, api *platform.API, demand func(pool string) (usage.Demand, bool)) {
 	d := i.Settings.Duties
 	if !d.Has(setting.ScalingDuty) {
 		return
 	}
 	i.Scaling = &scaling.Service{
 		Lease:          lease,
-		Orders:         orders,
-		Demand:         demand,
+		Orders:         &platformOrders{api: api, holder: i.Settings.Name},
+		Demand:         usageDemand(demand),
 		Table:          i.Routing.Current,
 		Roster:         i.Roster.Current,
 		Instances:      i.instancesByZone,
@@ -27,6 +35,42 @@
 	i.kernel.Add("scaling", i.Scaling)
 }
 
+// platformOrders sends orders by calls of the platform's API.
+type platformOrders struct {
+	api    *platform.API
+	holder string // name of this instance
+}
+
+// Order sends one order.
+func (p *platformOrders) Order(ctx context.Context, token int64, o scaling.Order) error {
+	err := p.api.Order(ctx, platform.Duty{Holder: p.holder, Token: token}, platform.UpstreamOrder{
+		Pool: o.Pool, Zone: o.Zone, Reclaimable: o.Kind == scaling.Reclaimable, Count: o.Count,
+	})
+	switch {
+	case errors.Is(err, platform.ErrNoneAvailable):
+		return scaling.ErrNoneAvailable
+	case errors.Is(err, platform.ErrRateLimited):
+		return scaling.ErrRateLimited
+	}
+	return err
+}
+
+// usageDemand gives the demand that package usage sums.
+type usageDemand func(pool string) (usage.Demand, bool)
+
+// Demand returns the demand of a pool.
+func (f usageDemand) Demand(_ time.Time, pool string) (scaling.Demand, bool) {
+	u, ok := f(pool)
+	if !ok {
+		return scaling.Demand{}, false
+	}
+	d := scaling.Demand{ReadTokens: u.ReadTokens, Events: u.Events, Begun: u.Begun, Age: u.Age, Covered: u.Coverage}
+	if u.Streams > 0 {
+		d.LateFirst, d.LateGap = min(u.LateFirst/u.Streams, 1), min(u.LateGap/u.Streams, 1)
+	}
+	return d, true
+}
+
 // poolSpeed returns what this instance has measured of the upstreams of a pool.
 func (i *Instance) poolSpeed(pool string) scaling.Speed {
 	token, request := i.picker.Measured(pool)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -215,7 +215,9 @@
 	case !hold && now.Sub(s.givenBackAt[z.Name]) >= giveBackPeriod:
 		want, reason = giveBack(z, coming, n, spare)
 	}
-	bound(&want, in.Pool.Scaling, coming)
+	if bound(&want, in.Pool.Scaling, coming) && reason == "" {
+		reason = "the bounds of the pool require it"
+	}
 	orders := s.ordersFor(now, in, z, want, coming, reason)
 	return ZonePlan{
 		Zone: z.Name, Need: n.need, Least: n.least, Secure: n.secure, Present: z.Present, Leaving: z.Leaving, Desired: want, Reason: s.reasons[z.Name],
@@ -254,20 +256,20 @@
 	return want, reason
 }
 
-// bound keeps both kinds together within the bounds of a zone. Upstreams that are there
-// already are not given back for it, unless they are more than the largest number.
-func bound(want *[kinds]int, s *route.Scaling, coming [kinds]int) {
-	if over := want[Ordinary] + want[Reclaimable] - s.Max; over > 0 {
-		cut := min(over, max(want[Reclaimable]-coming[Reclaimable], 0))
-		want[Reclaimable] -= cut
-		want[Ordinary] = max(want[Ordinary]-(over-cut), 0)
-		if over = want[Ordinary] + want[Reclaimable] - s.Max; over > 0 {
-			want[Reclaimable] -= over
-		}
+// bound keeps both kinds together within the bounds of a zone and reports whether it changed the
+// numbers. What is not there yet is dropped first, reclaimable ones before ordinary ones.
+func bound(want *[kinds]int, s *route.Scaling, coming [kinds]int) bool {
+	before := *want
+	for _, kind := range []int{Reclaimable, Ordinary} {
+		over := max(want[Ordinary]+want[Reclaimable]-s.Max, 0)
+		want[kind] -= min(over, max(want[kind]-coming[kind], 0))
 	}
-	if missing := s.Min - want[Ordinary] - want[Reclaimable]; missing > 0 {
-		want[Ordinary] += missing
+	for _, kind := range []int{Reclaimable, Ordinary} {
+		over := max(want[Ordinary]+want[Reclaimable]-s.Max, 0)
+		want[kind] -= min(over, want[kind])
 	}
+	want[Ordinary] += max(s.Min-want[Ordinary]-want[Reclaimable], 0)
+	return *want != before
 }
 
 // ordersFor returns the orders that change a zone to the wanted numbers, and repeats those that
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -260,3 +260,30 @@
 	})
 	assert.Equal(t, step, 60)
 }
+
+// TestBounds guards against orders beyond the bounds of a zone, which hold for both kinds
+// together, and against orders without a reason where only the bounds have changed.
+func TestBounds(t *testing.T) {
+	s, in := NewState(), quietInput()
+	in.Pool.Scaling.Max = 18
+	d := decideFor(s, in, 0, 1)
+	assert.Equal(t, len(d.Orders), 2)
+	assert.Assert(t, d.Orders[0].Count == 18 && d.Orders[0].Reason != "", "%+v", d.Orders[0])
+	s, in = NewState(), quietInput()
+	in.Pool.Scaling.Min = 22
+	d = decideFor(s, in, 0, 1)
+	assert.Equal(t, len(d.Orders), 2)
+	assert.Equal(t, d.Orders[0].Count, 22)
+	for _, c := range []struct{ want, coming, bounded [kinds]int }{
+		{[kinds]int{10, 12}, [kinds]int{10, 4}, [kinds]int{10, 10}},
+		{[kinds]int{16, 12}, [kinds]int{4, 12}, [kinds]int{8, 12}},
+		{[kinds]int{25, 12}, [kinds]int{25, 12}, [kinds]int{20, 0}},
+		{[kinds]int{1, 1}, [kinds]int{1, 1}, [kinds]int{2, 1}},
+		{[kinds]int{3, 4}, [kinds]int{3, 3}, [kinds]int{3, 4}},
+	} {
+		got := c.want
+		changed := bound(&got, &route.Scaling{Min: 3, Max: 20}, c.coming)
+		assert.Equal(t, got, c.bounded, "%v of %v", c.want, c.coming)
+		assert.Equal(t, changed, got != c.want)
+	}
+}
