--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
 	"knapweedwell/buffer"
+	"knapweedwell/duty"
 	"knapweedwell/exchange"
 	"knapweedwell/follow"
 	"knapweedwell/forward"
@@ -31,6 +32,7 @@
 	"knapweedwell/routing"
 	"knapweedwell/scaling"
 	"knapweedwell/setting"
+	"knapweedwell/usage"
 	"knapweedwell/verdictstore"
 )
 
@@ -54,6 +56,9 @@
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Log          logrus.FieldLogger
 	Check        *invariant.Checker
+	// Elapsed returns the time since the machine was started, suspensions included. Nil means
+	// duty.Boottime.
+	Elapsed func() time.Duration
 
 	Peers      *peer.Node
 	Heartbeats *heartbeat.Service
@@ -67,6 +72,11 @@
 	Directory  *directory
 	Operator   *operatorServer
 	Scaling    *scaling.Service // nil without the duty
+	API        *platform.API    // nil without duties
+	Duties     *duty.Service    // nil without duties
+
+	// demand returns what the upstreams of a pool have to do; nil if it is not summed.
+	demand func(pool string) (usage.Demand, bool)
 
 	kernel      *kernel.Kernel
 	store       *platform.Client
@@ -100,6 +110,8 @@
 	i.kernel.Add("operator", i.Operator)
 	i.kernel.Add("forward", i.Forward)
 	i.kernel.Add("directory", i.Directory)
+	i.buildDuties()
+	i.buildScaling(i.Duties, i.API, i.demand)
 	if err := i.kernel.Run(); err != nil {
 		return err
 	}
@@ -345,6 +357,7 @@
 	i.Forward.Leave(start, end)
 	i.Exchange.SendNow()
 	i.Heartbeats.AnnounceAsync()
+	i.releaseDuties(ctx)
 	for now := start; now.Before(end) && ctx.Err() == nil; now = time.Now() {
 		active, idle := i.Forward.Busy(now)
 		if active == 0 && idle > minIdleTime && now.Sub(start) > minLeavingTime {
@@ -373,5 +386,8 @@
 	err := i.kernel.Close()
 	_ = i.connections.Close()
 	_ = i.store.Close()
+	if i.API != nil {
+		_ = i.API.Close()
+	}
 	return err
 }
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -60,6 +60,9 @@
 
 // Demand returns the demand of a pool.
 func (f usageDemand) Demand(_ time.Time, pool string) (scaling.Demand, bool) {
+	if f == nil {
+		return scaling.Demand{}, false
+	}
 	u, ok := f(pool)
 	if !ok {
 		return scaling.Demand{}, false
