--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,12 +71,10 @@
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
-	Scaling    *scaling.Service // nil without the duty
 	API        *platform.API    // nil without duties
 	Duties     *duty.Service    // nil without duties
-
-	// demand returns what the upstreams of a pool have to do; nil if it is not summed.
-	demand func(pool string) (usage.Demand, bool)
+	Usage      *usage.Service   // nil without duties
+	Scaling    *scaling.Service // nil without the duty
 
 	kernel      *kernel.Kernel
 	store       *platform.Client
@@ -111,7 +109,7 @@
 	i.kernel.Add("forward", i.Forward)
 	i.kernel.Add("directory", i.Directory)
 	i.buildDuties()
-	i.buildScaling(i.Duties, i.API, i.demand)
+	i.buildScaling()
 	if err := i.kernel.Run(); err != nil {
 		return err
 	}
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -14,16 +14,16 @@
 )
 
 // buildScaling builds the service that orders upstreams, if the platform names that duty.
-// It is called once the lease of the duties, the API and the usage are built.
-func (i *Instance) buildScaling(lease scaling.Lease, api *platform.API, demand func(pool string) (usage.Demand, bool)) {
+// It is called after buildDuties.
+func (i *Instance) buildScaling() {
 	d := i.Settings.Duties
 	if !d.Has(setting.ScalingDuty) {
 		return
 	}
 	i.Scaling = &scaling.Service{
-		Lease:          lease,
-		Orders:         &platformOrders{api: api, holder: i.Settings.Name},
-		Demand:         usageDemand(demand),
+		Lease:          i.Duties,
+		Orders:         &platformOrders{api: i.API, holder: i.Settings.Name},
+		Demand:         &usageDemand{sums: i.Usage.Demand},
 		Table:          i.Routing.Current,
 		Roster:         i.Roster.Current,
 		Instances:      i.instancesByZone,
@@ -56,22 +56,36 @@
 }
 
 // usageDemand gives the demand that package usage sums.
-type usageDemand func(pool string) (usage.Demand, bool)
+type usageDemand struct {
+	sums func(now time.Time) map[string][]usage.Demand // samples by pool, the oldest first
 
-// Demand returns the demand of a pool.
-func (f usageDemand) Demand(_ time.Time, pool string) (scaling.Demand, bool) {
-	if f == nil {
-		return scaling.Demand{}, false
+	at    time.Time
+	known map[string][]usage.Demand // of the time at
+}
+
+// Demand returns the latest sample of a pool. A pool that no counts name has no demand, if
+// there are samples of others.
+func (u *usageDemand) Demand(now time.Time, pool string) (scaling.Demand, bool) {
+	if u.known == nil || !u.at.Equal(now) {
+		u.at, u.known = now, u.sums(now)
+	}
+	if samples := u.known[pool]; len(samples) > 0 {
+		return demandOf(samples[len(samples)-1]), true
 	}
-	u, ok := f(pool)
-	if !ok {
-		return scaling.Demand{}, false
+	for _, samples := range u.known {
+		last := samples[len(samples)-1]
+		return demandOf(usage.Demand{Age: last.Age, Coverage: last.Coverage}), true
 	}
+	return scaling.Demand{}, false
+}
+
+// demandOf converts the rates of late streams into shares.
+func demandOf(u usage.Demand) scaling.Demand {
 	d := scaling.Demand{ReadTokens: u.ReadTokens, Events: u.Events, Begun: u.Begun, Age: u.Age, Covered: u.Coverage}
 	if u.Streams > 0 {
 		d.LateFirst, d.LateGap = min(u.LateFirst/u.Streams, 1), min(u.LateGap/u.Streams, 1)
 	}
-	return d, true
+	return d
 }
 
 // poolSpeed returns what this instance has measured of the upstreams of a pool.
--- a/edge/scaling_test.go
+++ b/edge/scaling_test.go
@@ -47,19 +47,21 @@
 	assert.Equal(t, len(standIn.Breaches()), 0, "%v", standIn.Breaches())
 }
 
-// TestUsageDemand guards against rates of late streams that are taken for shares.
+// TestUsageDemand guards against rates of late streams that are taken for shares, against an old
+// sample where a newer one is known, and against an idle pool whose demand counts as unknown.
 func TestUsageDemand(t *testing.T) {
-	sum := usage.Demand{ReadTokens: 1e6, Events: 9000, Begun: 350, Streams: 300, LateFirst: 30, LateGap: 150, Coverage: 0.9, Age: time.Second}
-	known := true
-	source := usageDemand(func(string) (usage.Demand, bool) { return sum, known })
-	d, ok := source.Demand(time.Now(), "engines")
+	now := time.Now()
+	newest := usage.Demand{ReadTokens: 1e6, Events: 9000, Begun: 350, Streams: 300, LateFirst: 30, LateGap: 150, Coverage: 0.9, Age: 2 * time.Second}
+	sums := map[string][]usage.Demand{"engines": {{Age: 3 * time.Second, Coverage: 1}, newest}}
+	source := &usageDemand{sums: func(time.Time) map[string][]usage.Demand { return sums }}
+	d, ok := source.Demand(now, "engines")
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, d, scaling.Demand{ReadTokens: 1e6, Events: 9000, Begun: 350, LateFirst: 0.1, LateGap: 0.5, Covered: 0.9, Age: time.Second})
-	sum.Streams = 0
-	d, _ = source.Demand(time.Now(), "engines")
-	assert.Equal(t, d.LateFirst, 0.0)
-	known = false
-	_, ok = source.Demand(time.Now(), "engines")
+	assert.DeepEqual(t, d, scaling.Demand{ReadTokens: 1e6, Events: 9000, Begun: 350, LateFirst: 0.1, LateGap: 0.5, Covered: 0.9, Age: 2 * time.Second})
+	d, ok = source.Demand(now, "idle")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, d, scaling.Demand{Covered: 0.9, Age: 2 * time.Second})
+	sums = nil
+	_, ok = source.Demand(now.Add(time.Second), "engines")
 	assert.Assert(t, !ok)
 }
 
@@ -77,7 +79,8 @@
 			Settings: &setting.Settings{Name: "front-1", Routes: &setting.Routes{}, Duties: c.duties},
 			Routing:  &routing.Manager{}, Roster: &roster.Service{}, Log: logrus.New(), kernel: kernel.New(),
 		}
-		i.buildScaling(nil, nil, nil)
+		i.Usage = &usage.Service{}
+		i.buildScaling()
 		assert.Equal(t, i.Scaling != nil, c.runs, "%+v", c.duties)
 	}
 }
--- a/scaling/need.go
+++ b/scaling/need.go
@@ -1,9 +1,6 @@
 package scaling
 
-import (
-	"sort"
-	"time"
-)
+import "sort"
 
 // zoneNeed is what one zone needs.
 type zoneNeed struct {
@@ -22,16 +19,20 @@
 // a time: lateness may have other causes.
 const maxLateRise = 1.5
 
+// idleShare is the part of the highest demand that is kept room for, so that demand that comes
+// back after a quiet time finds some upstreams while others start.
+const idleShare = 0.2
+
 // needs returns what each zone needs. A zone needs enough for its own callers and for an equal
 // share of its region. What it cannot get is added to other zones.
 func (s *State) needs(in Input) poolNeed {
 	capacity := s.assumed(in)
 	lowered := s.afterFailures(capacity)
-	expected := s.forecast(in.Pool.Scaling.StartTime + time.Second)
+	expected := s.forecast(in.Pool.Scaling.StartTime + in.Demand.Age)
 	current, _ := lowered.busy(s.smooth)
 	plan := load{}
 	for i, x := range s.peak() {
-		plan[i] = max(x, expected[i])
+		plan[i] = max(x, expected[i], idleShare*s.highest[i])
 	}
 	planned, _ := capacity.busy(plan)
 	plannedLate, _ := lowered.busy(plan)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -110,8 +110,9 @@
 	// secure is the ratio to the demand that has to remain when all reclaimable upstreams go.
 	secure = 1.1
 
-	holdTime       = 2 * maxAge      // two windows of demand, from the start to the first return
-	giveBackPeriod = 4 * time.Second // so that the effect of a return shows in a sample before the next
+	holdTime       = 4 * time.Second // two windows of demand of 2 s, from the first sample to the first return
+	triedPeriod    = 2 * time.Second // between returns after which upstreams have a load that worked
+	giveBackPeriod = 5 * time.Second // an order takes a second, a sample another, and it may be maxAge old
 	giveBackPart   = 4               // a zone gives back at most the fourth part at a time
 	peakTime       = 12 * time.Second
 	refusalTime    = 10 * time.Second // reclaimed kinds are back after 8 to 10 s
@@ -212,7 +213,7 @@
 	case coming[Ordinary] < n.secureLeast && s.mayOrder(z.Name, Ordinary):
 		want[Ordinary] = n.secure
 		reason = "a reclaim would leave too few"
-	case !hold && now.Sub(s.givenBackAt[z.Name]) >= giveBackPeriod:
+	case !hold && now.Sub(s.givenBackAt[z.Name]) >= s.returnPeriod(in):
 		want, reason = giveBack(z, coming, n, spare)
 	}
 	if bound(&want, in.Pool.Scaling, coming) && reason == "" {
@@ -224,6 +225,18 @@
 	}, orders
 }
 
+// returnPeriod returns the time between two returns. It is short while the upstreams that are left
+// after the next one still have a load that worked.
+func (s *State) returnPeriod(in Input) time.Duration {
+	left := float64(present(in)) * (giveBackPart - 1) / giveBackPart
+	for i, x := range s.peak() {
+		if x > s.worked[i]*left {
+			return giveBackPeriod
+		}
+	}
+	return triedPeriod
+}
+
 // isCheap reports whether reclaimable upstreams exist and cost clearly less.
 func isCheap(s *route.Scaling) bool {
 	return s.ReclaimablePrice > 0 && s.ReclaimablePrice <= maxPriceRate
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -67,9 +67,9 @@
 	d = decideFor(s, in, 4, 5)
 	in.Demand.Covered = 1
 	assert.Equal(t, len(d.Orders), 0, "%+v", d)
-	d = decideFor(s, in, 9, 6)
+	d = decideFor(s, in, 9, 4)
 	assert.Equal(t, len(d.Orders), 0, "%+v", d)
-	d = decideFor(s, in, 15, 2)
+	d = decideFor(s, in, 13, 2)
 	assert.Equal(t, len(d.Orders), 2, "%+v", d)
 }
 
--- a/scaling/script_test.go
+++ b/scaling/script_test.go
@@ -136,7 +136,8 @@
 	arrivals []float64
 
 	begun, inTime, cost float64
-	window              Demand // sums over the last second
+	window              Demand   // sums over the last second
+	windows             []Demand // of the seconds before that the decision is not told yet
 	orders              int
 	refusals            int
 	lowest              map[string]int // fewest engines that served in a zone
@@ -145,6 +146,7 @@
 const (
 	modelStep     = 100 * time.Millisecond
 	decodeShare   = 0.1   // part of an engine's time for the tokens of streams
+	sampleDelay   = 2     // seconds until the counts of a second are known
 	pieceTokens   = 2000  // of a prompt that are read in one step
 	streamStep    = 0.008 // mean time between the tokens of a stream, in seconds
 	tokensOfEvent = 4
@@ -313,10 +315,15 @@
 
 // input returns what the decision is told: the demand of the last second and what is present.
 func (m *model) input(pool *route.Pool) Input {
-	in := Input{Pool: pool, Demand: m.window, Speed: Speed{Slots: m.slots}}
-	in.Demand.LateFirst /= max(m.window.Begun, 1)
-	in.Demand.LateGap /= max(m.window.Begun, 1)
-	in.Demand.Covered, in.Demand.Age = 1, time.Second
+	in := Input{Pool: pool, Speed: Speed{Slots: m.slots}}
+	m.windows = append(m.windows, m.window)
+	in.Demand.Age = maxAge + time.Second
+	if late := len(m.windows) - 1 - sampleDelay; late >= 0 {
+		in.Demand = m.windows[late]
+		in.Demand.LateFirst /= max(in.Demand.Begun, 1)
+		in.Demand.LateGap /= max(in.Demand.Begun, 1)
+		in.Demand.Covered, in.Demand.Age = 1, sampleDelay*time.Second
+	}
 	for i := range m.classes {
 		if c := &m.classes[i]; in.Speed.Aim == 0 || c.aim < in.Speed.Aim {
 			in.Speed.Aim, in.Speed.GapAim = c.aim, c.gap
--- a/scaling/service_test.go
+++ b/scaling/service_test.go
@@ -56,6 +56,9 @@
 	return m.placed
 }
 
+// holdSteps is the number of decisions that give nothing back at the start.
+const holdSteps = int(holdTime / decidePeriod)
+
 // newPlatformModel returns a model with upstreams spread over pools and zones. The load keeps
 // one of six engines busy.
 func newPlatformModel(pools, zones, upstreams int) *platformModel {
@@ -109,7 +112,7 @@
 	assert.Equal(t, len(m.steps(20)), 0)
 	assert.Assert(t, !m.service.Status().Deciding)
 	m.token = 7
-	assert.Equal(t, len(m.steps(6)), 0, "nothing is given back before two windows of demand")
+	assert.Equal(t, len(m.steps(holdSteps)), 0, "nothing is given back before two windows of demand")
 	orders := m.steps(3)
 	assert.Equal(t, len(orders), 6)
 	for _, o := range orders {
@@ -118,14 +121,14 @@
 	}
 	assert.Equal(t, len(m.steps(2)), 0)
 	m.token = 8
-	assert.Equal(t, len(m.steps(6)), 0, "the next holder begins from what is present")
+	assert.Equal(t, len(m.steps(holdSteps)), 0, "the next holder begins from what is present")
 	assert.Equal(t, len(m.steps(3)), 6)
 }
 
 // TestLeaseEndsBetweenOrders guards against orders that are sent after the lease was lost.
 func TestLeaseEndsBetweenOrders(t *testing.T) {
 	m := newPlatformModel(1, 6, 120)
-	m.steps(6)
+	m.steps(holdSteps)
 	m.answer = func(Order) error {
 		m.token = 9
 		return nil
@@ -153,13 +156,13 @@
 func TestCallsPerSecond(t *testing.T) {
 	m := newPlatformModel(10, 6, 600)
 	m.service.CallsPerSecond = 10
-	m.steps(6)
+	m.steps(holdSteps)
 	for range 5 {
 		assert.Equal(t, len(m.steps(1)), 5)
 	}
 	m = newPlatformModel(10, 6, 600)
 	m.answer = func(Order) error { return ErrRateLimited }
-	m.steps(6)
+	m.steps(holdSteps)
 	assert.Equal(t, len(m.steps(1)), 1, "a call that was refused for its rate ends the calls")
 }
 
@@ -175,7 +178,7 @@
 		return nil
 	}
 	refused := 0
-	for _, o := range m.steps(16) {
+	for _, o := range m.steps(holdSteps + int(refusalTime/decidePeriod)) {
 		if o.Kind == Reclaimable {
 			refused++
 		}
--- a/scaling/state.go
+++ b/scaling/state.go
@@ -38,7 +38,7 @@
 }
 
 const (
-	rising        = 0.8              // weight of a new sample that is higher; samples come once a second
+	rising        = 0.9              // weight of a new sample that is higher; samples come once a second
 	falling       = 0.5              // weight of a new sample that is lower
 	lateSmoothing = 0.4              // weight of a new sample in the share of late streams
 	quietDrift    = 0.0001           // rise of the lowest share with each sample, so that a lucky one does not count forever
@@ -74,7 +74,8 @@
 	worked      load    // highest load of an upstream with few late streams
 	failed      load    // lowest recent load of an upstream with too many, zero if there is none
 	failedAt    time.Time
-	grownAt     time.Time // when ordered upstreams last began to serve
+	present     int
+	changedAt   time.Time // when present last changed
 	placed      map[key]placed
 	refused     map[key]time.Time // until when nothing is ordered
 	givenBackAt map[string]time.Time
@@ -140,19 +141,16 @@
 			delete(s.refused, k)
 		}
 	}
-	present := make(map[key]int, len(s.placed))
+	numbers := make(map[key]int, len(s.placed))
 	for i := range in.Zones {
 		for kind, n := range in.Zones[i].Present {
-			present[key{in.Zones[i].Name, kind}] = n
+			numbers[key{in.Zones[i].Name, kind}] = n
 		}
 	}
 	for k, p := range s.placed {
-		switch n := present[k]; {
+		switch n := numbers[k]; {
 		case n == p.count:
 			delete(s.placed, k)
-			if p.grows {
-				s.grownAt = now
-			}
 		case now.After(p.due) && p.repeats >= maxRepeats:
 			delete(s.placed, k)
 			if n < p.count {
@@ -194,25 +192,37 @@
 	s.learn(now, in)
 }
 
+// present returns the number of upstreams that take work.
+func present(in Input) int {
+	n := 0
+	for i := range in.Zones {
+		n += in.Zones[i].Present[Ordinary] + in.Zones[i].Present[Reclaimable]
+	}
+	return n
+}
+
 // learn derives from the share of late streams whether upstreams can take their present load.
 func (s *State) learn(now time.Time, in Input) {
 	if now.Sub(s.failedAt) > failureTime {
 		s.failed = load{}
 	}
-	present := 0
-	for i := range in.Zones {
-		present += in.Zones[i].Present[Ordinary] + in.Zones[i].Present[Reclaimable]
+	n := present(in)
+	if n != s.present {
+		s.present, s.changedAt = n, now
+	}
+	if len(s.samples) == 1 {
+		s.changedAt = now.Add(-giveBackPeriod)
 	}
-	if present == 0 {
+	if n == 0 {
 		return
 	}
 	var each load
 	for i := range each {
-		each[i] = s.smooth[i] / float64(present)
+		each[i] = s.smooth[i] / float64(n)
 	}
 	if !s.isLate(lateMargin) {
 		s.lateRun = 0
-		if s.late <= max(s.quietLate+workedMargin, workedLate) {
+		if s.late <= max(s.quietLate+workedMargin, workedLate) && now.Sub(s.changedAt) >= giveBackPeriod {
 			for i := range each {
 				s.worked[i] = max(s.worked[i], each[i])
 			}
@@ -235,7 +245,13 @@
 	}
 	capacity := s.assumed(in)
 	busy, dimension := capacity.busy(each)
-	if ratio, i := s.worked.busy(each); busy < minLatePart && ratio > overWorked {
+	worked := s.worked
+	for i := range worked {
+		if capacity[i] == 0 {
+			worked[i] = 0 // the dimension does not count for this pool
+		}
+	}
+	if ratio, i := worked.busy(each); busy < minLatePart && ratio > overWorked {
 		busy, dimension = ratio, i
 	}
 	possible *= each[dimension]
@@ -246,7 +262,8 @@
 }
 
 // isSettling reports whether more upstreams are ordered and do not serve yet, so that the present
-// load of each says nothing of what it would be with them.
+// load of each says nothing of what it would be with them, or whether their number has changed
+// since the latest sample.
 func (s *State) isSettling(now time.Time, in Input) bool {
 	for i := range in.Zones {
 		for kind, n := range in.Zones[i].Present {
@@ -255,7 +272,7 @@
 			}
 		}
 	}
-	return now.Sub(s.grownAt) < maxAge
+	return now.Sub(s.changedAt) < maxAge
 }
 
 // isLate reports whether the share of late streams rose by more than a margin over what it
