--- a/scaling/service.go
+++ b/scaling/service.go
@@ -63,7 +63,13 @@
 	CallsPerSecond float64
 	Log            logrus.FieldLogger
 
-	clock     func() time.Time // time.Now, except in tests
+	clock func() time.Time // time.Now, except in tests
+
+	// Used by the loop only.
+	counted       []Input // for the table and the roster that follow
+	countedTable  *route.Table
+	countedRoster *roster.Roster
+
 	mu        sync.Mutex
 	held      bool
 	token     int64
@@ -128,6 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held, s.states, s.decisions, s.recent = false, nil, nil, nil
+	s.counted, s.countedTable, s.countedRoster = nil, nil, nil
 }
 
 // decide returns the orders of all pools, those of more upstreams first.
@@ -236,23 +243,41 @@
 
 // inputs returns what the decisions for the pools with bounds depend on, by name of the pool.
 func (s *Service) inputs(now time.Time, table *route.Table, upstreams *roster.Roster) []Input {
+	if s.counted == nil || s.countedTable != table || s.countedRoster != upstreams {
+		s.counted, s.countedTable, s.countedRoster = s.count(table, upstreams), table, upstreams
+	}
+	if len(s.counted) == 0 {
+		return nil
+	}
+	instances := s.Instances()
+	inputs := make([]Input, 0, len(s.counted))
+	for _, in := range s.counted {
+		in.Zones = append([]Zone(nil), in.Zones...)
+		for i := range in.Zones {
+			in.Zones[i].Callers = float64(instances[in.Zones[i].Name])
+		}
+		name := in.Pool.Name
+		measured := s.Speed(name)
+		in.Speed.TokenSeconds, in.Speed.RequestSeconds = measured.TokenSeconds, measured.RequestSeconds
+		in.Demand, _ = s.demand(now, name)
+		inputs = append(inputs, in)
+	}
+	return inputs
+}
+
+// count returns the parts of the inputs that change only with the route table or the roster.
+func (s *Service) count(table *route.Table, upstreams *roster.Roster) []Input {
 	zones := map[string]map[string]*Zone{}
 	for name, p := range table.Pools {
 		if p.Scaling != nil && len(zones) < maxPools {
 			zones[name] = map[string]*Zone{}
 		}
 	}
-	if len(zones) == 0 {
-		return nil
-	}
 	slots := s.countUpstreams(upstreams, zones)
-	instances := s.Instances()
 	inputs := make([]Input, 0, len(zones))
 	for name, byName := range zones {
-		in := Input{Pool: table.Pools[name], Speed: s.Speed(name)}
-		in.Speed.Slots = slots[name]
+		in := Input{Pool: table.Pools[name], Speed: Speed{Slots: slots[name]}}
 		in.Speed.Aim, in.Speed.GapAim = aims(table, name)
-		in.Demand, _ = s.demand(now, name)
 		for zone, price := range in.Pool.Scaling.ZonePrices {
 			if byName[zone] == nil {
 				byName[zone] = &Zone{Name: zone}
@@ -260,7 +285,7 @@
 			byName[zone].Price = price
 		}
 		for zone, z := range byName {
-			z.Region, z.Callers = s.Regions[zone], float64(instances[zone])
+			z.Region = s.Regions[zone]
 			in.Zones = append(in.Zones, *z)
 		}
 		sort.Slice(in.Zones, func(i, j int) bool { return in.Zones[i].Name < in.Zones[j].Name })
