--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"knapweedwell/roster"
 	"knapweedwell/route"
 	"knapweedwell/routing"
+	"knapweedwell/scaling"
 	"knapweedwell/setting"
 	"knapweedwell/usage"
 	"knapweedwell/verdictstore"
@@ -70,9 +71,10 @@
 	Forward    *forward.Server
 	Directory  *directory
 	Operator   *operatorServer
-	API        *platform.API  // nil without duties
-	Duties     *duty.Service  // nil without duties
-	Usage      *usage.Service // nil without duties
+	API        *platform.API    // nil without duties
+	Duties     *duty.Service    // nil without duties
+	Usage      *usage.Service   // nil without duties
+	Scaling    *scaling.Service // nil without the duty
 
 	kernel      *kernel.Kernel
 	store       *platform.Client
@@ -109,6 +111,7 @@
 	i.kernel.Add("forward", i.Forward)
 	i.kernel.Add("directory", i.Directory)
 	i.buildDuties()
+	i.buildScaling()
 	if err := i.kernel.Run(); err != nil {
 		return err
 	}
