--- a/buffer/buffer.go
+++ b/buffer/buffer.go
@@ -37,9 +37,15 @@
 // io.ErrShortBuffer that is one byte over the limit. The size is the expected number of bytes,
 // negative if it is not known.
 func (b *Buffer) Fill(r io.Reader, size, limit int64) error {
+	most := limit + 1
 	if size >= 0 && size <= limit {
-		// One byte more, in which the end of r is found.
-		if err := b.grow(size + 1); err != nil {
+		// One byte more, in which the end of r is found. Of a large body, the rest of the
+		// capacity is taken as its bytes come: it may be announced and never sent.
+		most = size + 1
+		if !b.Memory.fits(most - FreeBytes) {
+			return ErrSpent
+		}
+		if err := b.grow(min(most, announcedBytes)); err != nil {
 			return err
 		}
 	}
@@ -48,7 +54,10 @@
 			return io.ErrShortBuffer
 		}
 		if len(b.data) == cap(b.data) {
-			if err := b.grow(min(max(2*int64(cap(b.data)), minBytes), limit+1)); err != nil {
+			if int64(cap(b.data)) >= most {
+				most = limit + 1
+			}
+			if err := b.grow(min(max(2*int64(cap(b.data)), minBytes), most)); err != nil {
 				return err
 			}
 		}
@@ -79,7 +88,10 @@
 	b.data = b.data[:copy(b.data, b.data[n:])]
 }
 
-const minBytes = 512 // capacity of a buffer for a body whose length is not known
+const (
+	minBytes       = 512      // capacity of a buffer for a body whose length is not known
+	announcedBytes = 16 << 10 // most that is taken for a body before any of it has come
+)
 
 // grow gives the buffer a capacity.
 func (b *Buffer) grow(size int64) error {
--- a/buffer/memory.go
+++ b/buffer/memory.go
@@ -21,6 +21,15 @@
 	return false
 }
 
+// fits reports whether as many bytes are left. It takes none.
+func (m *Memory) fits(n int64) bool {
+	if m.Limit <= 0 || n <= 0 || m.used.Load()+n <= m.Limit {
+		return true
+	}
+	m.refused.Add(1)
+	return false
+}
+
 // release returns bytes that were reserved.
 func (m *Memory) release(n int64) {
 	m.used.Add(-n)
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -14,7 +14,8 @@
 	Drops *Drops
 
 	mu    sync.Mutex
-	used  int64
+	used  int64                          // by holdings that have not given way
+	gone  int64                          // by holdings that have given way and whose connections have not ended yet
 	sizes [sizeClasses]map[*Holding]bool // what may give way, by size
 }
 
@@ -25,7 +26,8 @@
 	Drop   func() // makes the connection end; it does not block
 
 	bytes   int64
-	pinned  bool // whether the holding never gives way
+	gone    int64 // bytes that the holding had when it gave way
+	pinned  bool  // whether the holding never gives way
 	dropped bool
 }
 
@@ -41,9 +43,13 @@
 	return b.used
 }
 
+// gonePercent bounds the bytes of holdings that have given way and whose memory is still in
+// use, in percent of the Limit. While there are more, no holding grows.
+const gonePercent = 50
+
 // Resize makes the holding take the given number of bytes. If too few are left, the largest
-// holdings give way. It reports false if that is this one: it then holds nothing, and its
-// connection is to end.
+// holdings give way. It reports false if that is this one, or if the memory of those is still
+// in use: it then holds nothing, and its connection is to end.
 func (h *Holding) Resize(bytes int64) bool {
 	b := h.Budget
 	b.mu.Lock()
@@ -60,10 +66,15 @@
 			fits = false
 			break
 		}
+		v.gone = v.bytes
+		b.gone += v.gone
 		b.remove(v)
 		v.dropped = true
 		victims = append(victims, v)
 	}
+	if b.Limit > 0 && bytes > 0 && b.used+b.gone+bytes > b.Limit+b.Limit*gonePercent/100 {
+		fits = false
+	}
 	if fits {
 		b.add(h, bytes)
 	} else {
@@ -100,6 +111,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.remove(h)
+	b.gone -= h.gone
+	h.gone = 0
 	h.pinned = false
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -17,7 +17,7 @@
 	}
 	served, large, small, late := holding("served"), holding("large"), holding("small"), holding("late")
 	assert.Assert(t, served.Resize(50<<10) && served.Pin())
-	assert.Assert(t, large.Resize(30<<10))
+	assert.Assert(t, large.Resize(40<<10))
 	assert.Assert(t, small.Resize(10<<10))
 	assert.Assert(t, late.Resize(20<<10))
 	assert.DeepEqual(t, dropped, []string{"large"})
@@ -27,10 +27,22 @@
 	assert.DeepEqual(t, dropped, []string{"large"})
 	assert.Equal(t, b.Used(), int64(60<<10))
 	assert.Equal(t, b.Drops.Count(NoBytes), int64(2))
+	next := holding("next")
+	assert.Assert(t, next.Resize(40<<10))
+	late = holding("late")
+	assert.Assert(t, late.Resize(10<<10), "the bytes are still taken")
+	assert.DeepEqual(t, dropped, []string{"large", "next"})
+	assert.Assert(t, !holding("last").Resize(5<<10), "memory that is still in use was given away")
+	large.Free()
+	next.Free()
+	last := holding("last")
+	assert.Assert(t, last.Resize(5<<10))
+	last.Free()
+	late.Free()
 	small.Free()
 	served.Free()
 	assert.Equal(t, b.Used(), int64(0))
-	assert.Assert(t, served.Resize(101<<10) == false, "more than the limit was taken")
+	assert.Assert(t, !served.Resize(101<<10), "more than the limit was taken")
 }
 
 // TestWhoGivesWay guards against a port on which a request in progress gives way, or ordinary
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,7 +29,8 @@
 	crowdIdle            = 1500 // idle connections, more than the descriptors that are stated
 	crowdDescriptorBound = crowdDescriptors - 200
 
-	crowdTime = 4 * time.Second
+	crowdTime   = 4 * time.Second
+	unusualTime = 1500 * time.Millisecond
 )
 
 // crowdClient is what a client of a crowd sends on one connection.
@@ -81,10 +83,10 @@
 	}
 }
 
-// runCrowd runs clients against an address until the end of crowdTime. A client whose
+// runCrowd runs clients against an address for a time. A client whose
 // connection was closed opens another one.
-func runCrowd(size int, address string, c crowdClient) {
-	end := time.Now().Add(crowdTime)
+func runCrowd(size int, address string, length time.Duration, c crowdClient) {
+	end := time.Now().Add(length)
 	var wg sync.WaitGroup
 	for range size {
 		wg.Go(func() {
@@ -98,14 +100,14 @@
 
 // startSmallInstance starts one instance with the settings of these tests and waits until it
 // serves a request.
-func startSmallInstance(t *testing.T, seed uint64, descriptors int) (*testbed, *node) {
+func startSmallInstance(t *testing.T, seed uint64, megabytes, descriptors int) (*testbed, *node) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
 	tb, err := newTestbed(Options{
 		Seed: seed, Instances: 1, Upstreams: 2, Program: buildDaemon(t), Dir: t.TempDir(), Out: t.Output(),
-		MemoryMegabytes: crowdMegabytes, MaxDescriptors: descriptors,
+		MemoryMegabytes: megabytes, MaxDescriptors: descriptors,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(tb.close)
@@ -158,8 +160,8 @@
 // testCrowd checks that an instance bears a crowd at one of its ports.
 func testCrowd(t *testing.T, seed uint64, port int, c crowdClient) {
 	t.Helper()
-	tb, n := startSmallInstance(t, seed, 0)
-	runCrowd(crowdSize, n.address(port), c)
+	tb, n := startSmallInstance(t, seed, crowdMegabytes, 0)
+	runCrowd(crowdSize, n.address(port), crowdTime, c)
 	assertSound(t, tb, n)
 }
 
@@ -219,7 +221,7 @@
 // TestCrowdOfIdleConnections guards against idle connections that take all descriptors, so
 // that no upstream and no peer can be reached. 200 of those in the settings stay free.
 func TestCrowdOfIdleConnections(t *testing.T) {
-	tb, n := startSmallInstance(t, clientsSeed+9, crowdDescriptors)
+	tb, n := startSmallInstance(t, clientsSeed+9, crowdMegabytes, crowdDescriptors)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	end := time.Now().Add(crowdTime)
@@ -238,3 +240,85 @@
 	assert.Check(t, most <= crowdDescriptorBound, "%d descriptors, expected at most %d", most, crowdDescriptorBound)
 	assertSound(t, tb, n)
 }
+
+// TestCrowdWithUnusualRequests guards against the memory of clients that begin requests and
+// do not end them, or that do not read the answers.
+func TestCrowdWithUnusualRequests(t *testing.T) {
+	const (
+		authorized = headStart + "Authorization: Token " + apiKey + "\r\n"
+		chunked    = authorized + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	seed := uint64(clientsSeed + 10)
+	for _, c := range []struct {
+		name string
+		crowdClient
+	}{
+		{"heads at a byte a moment", crowdClient{start: headStart, repeat: "X", interval: 200 * time.Millisecond}},
+		{"bodies announced and never sent", crowdClient{start: authorized + "Content-Length: 1000000\r\n\r\n"}},
+		{"extensions of a chunk without end", crowdClient{start: chunked + "1;", repeat: fill("e", blockBytes), interval: blockPause}},
+		{"trailers without end", crowdClient{start: chunked + "1\r\na\r\n0\r\n", repeat: fill("X-A: a\r\n", blockBytes), interval: blockPause}},
+		{"requests without reading", crowdClient{start: fill(wholeRequest, 64<<10), repeat: wholeRequest, interval: blockPause}},
+		{"connections opened and closed", crowdClient{repeat: "\x00", interval: time.Millisecond}},
+		{"hellos of TLS", crowdClient{start: "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", repeat: fill("\x00", 512), interval: blockPause}},
+		{"large heads with bodies that are never sent", crowdClient{start: authorized + fill("A:\r\n", 60<<10) + "Content-Length: 1000000\r\n\r\n"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tb, n := startSmallInstance(t, seed, crowdMegabytes, 0)
+			seed++
+			runCrowd(crowdSize, n.address(callerPort), unusualTime, c.crowdClient)
+			assertSound(t, tb, n)
+		})
+	}
+}
+
+// TestOrdinaryClientsKeepConnections guards against limits that ordinary callers reach: the
+// smallest instance of a deployment holds 2,000 connections, and each is used again.
+func TestOrdinaryClientsKeepConnections(t *testing.T) {
+	const (
+		megabytes   = 184
+		descriptors = 4100
+		callers     = 2000
+		requests    = 3
+		pause       = time.Second // between two requests on a connection
+	)
+	tb, n := startSmallInstance(t, clientsSeed+20, megabytes, descriptors)
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	call := func() error {
+		conn, err := net.DialTimeout("tcp", n.address(callerPort), 5*time.Second)
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for i := range requests {
+			if i > 0 {
+				time.Sleep(pause)
+			}
+			// The answer may be a refusal: the stand-ins have few slots.
+			if _, err := io.WriteString(conn, wholeRequest); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return err
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return err
+			}
+		}
+		time.Sleep(pause)
+		return nil
+	}
+	for range callers {
+		wg.Go(func() {
+			if err := call(); err != nil && failed.Add(1) <= 3 {
+				t.Log(err)
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, failed.Load(), int64(0), "connections of ordinary callers were closed")
+	assertServes(t, n)
+	assert.Equal(t, len(tb.report().Violations), 0, "%v", tb.report().Violations)
+}
--- a/webserver/conn.go
+++ b/webserver/conn.go
@@ -106,6 +106,13 @@
 // readAhead hands on the first byte of the next request. Package net/http reads it while a
 // request is handled, to notice that the caller has gone.
 func (c *conn) readAhead(p []byte) (int, error) {
+	// Bytes that came with the body may begin with empty lines.
+	for len(c.data) > 0 && isBlank(c.data[0]) {
+		if c.blank++; c.blank > maxBlankBytes {
+			return 0, io.EOF
+		}
+		c.data = c.data[1:]
+	}
 	for len(c.data) == 0 {
 		n, err := c.readRaw(p[:1], true)
 		if n == 0 {
