--- a/intake/drops.go
+++ b/intake/drops.go
@@ -21,10 +21,13 @@
 	reasons
 )
 
-// names are the names of the reasons in logs and metrics.
-var names = [reasons]string{"large_head", "malformed", "no_bytes", "no_place", "unfinished", "idle"}
+// Names of the reasons in metrics and in logs.
+var (
+	names    = [reasons]string{"large_head", "malformed", "no_bytes", "no_place", "unfinished", "idle"}
+	logNames = [reasons]string{"LargeHead", "Malformed", "NoBytes", "NoPlace", "Unfinished", "Idle"}
+)
 
-// String returns the name of the reason in logs and metrics.
+// String returns the name of the reason in metrics.
 func (r Reason) String() string {
 	return names[r]
 }
@@ -57,10 +60,10 @@
 	if d.Log == nil || now == last || !d.loggedAt.CompareAndSwap(last, now) {
 		return
 	}
-	fields := logrus.Fields{"Reason": r.String()}
+	fields := logrus.Fields{"Reason": logNames[r]}
 	for _, each := range Reasons() {
 		if n := d.Count(each); n > 0 {
-			fields["Total_"+each.String()] = n
+			fields[logNames[each]] = n
 		}
 	}
 	d.Log.WithFields(fields).Warn("clients are refused or their connections closed")
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 )
 
@@ -74,3 +76,19 @@
 	assert.Equal(t, p.Open(), 3)
 	assert.Equal(t, p.Drops.Count(NoPlace), int64(1))
 }
+
+// TestDropsLogIsBounded guards against a crowd that fills the log.
+func TestDropsLogIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, hook := test.NewNullLogger()
+		d := &Drops{Log: log}
+		const seconds = 3
+		for range seconds * 1000 {
+			d.Add(Malformed)
+			time.Sleep(time.Millisecond)
+		}
+		n := len(hook.AllEntries())
+		assert.Assert(t, n > 0 && n <= seconds+1, "%d lines", n)
+		assert.Equal(t, d.Count(Malformed), int64(seconds*1000))
+	})
+}
--- a/webserver/benchmark_test.go
+++ b/webserver/benchmark_test.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"knapweedwell/intake"
 )
 
 // BenchmarkRequest measures one request on a kept connection over the loopback interface,
@@ -28,6 +31,10 @@
 				w.Header().Set("Content-Length", "2")
 				_, _ = io.WriteString(w, "ok")
 			})}
+			s.Port, s.Budget = &intake.Port{Limit: 1000}, &intake.Budget{Limit: 1 << 20}
+			s.Limits = func() Limits {
+				return Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+			}
 			assert.NilError(b, s.Run())
 			defer s.Close()
 			conn, err := net.Dial("tcp", s.Address)
