Order no upstreams for a rise while their speed is unknown

Change: the trend counts only if the speed is known. Measured: TestRiseAtUnknownSpeed fails before and passes; the scripts pass unchanged.

--- a/scaling/need.go
+++ b/scaling/need.go
@@ -1,6 +1,9 @@
 package scaling
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 // zoneNeed is what one zone needs.
 type zoneNeed struct {
@@ -57,6 +60,16 @@
 	return n
 }
 
+// expected returns the demand when ordered upstreams would serve. The trend counts only if it
+// is known what an upstream can take: where that is derived from the load that worked so far,
+// each rise, such as that at the start, looks like a lack.
+func (s *State) expected(in Input) load {
+	if in.Speed.TokenSeconds <= 0 && in.Speed.RequestSeconds <= 0 {
+		return s.smooth
+	}
+	return s.forecast(in.Pool.Scaling.StartTime + time.Second)
+}
+
 // shares returns the part of the pool's demand that each zone has to be able to serve: that of
 // its own callers, or its equal part of the region's if that is more.
 func shares(in Input) []float64 {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -287,3 +287,18 @@
 		assert.Equal(t, changed, got != c.want)
 	}
 }
+
+// TestRiseAtUnknownSpeed guards against upstreams that are ordered for the rise of the demand at
+// the start, when few streams are late and nothing is known of what an upstream can take.
+func TestRiseAtUnknownSpeed(t *testing.T) {
+	s, in := NewState(), quietInput()
+	in.Speed.TokenSeconds = 0
+	steady := in.Demand
+	for i, share := range []float64{0.1, 0.4, 0.7, 1, 1, 1} {
+		in.Demand.ReadTokens, in.Demand.Events, in.Demand.Begun = share*steady.ReadTokens, share*steady.Events, share*steady.Begun
+		in.Demand.LateFirst = 0.01
+		for _, o := range s.Decide(epoch.Add(time.Duration(i)*time.Second), in).Orders {
+			assert.Assert(t, o.Kind == Reclaimable || o.Count <= o.Present, "%+v", o)
+		}
+	}
+}
