--- a/scaling/need.go
+++ b/scaling/need.go
@@ -1,9 +1,6 @@
 package scaling
 
-import (
-	"sort"
-	"time"
-)
+import "sort"
 
 // zoneNeed is what one zone needs.
 type zoneNeed struct {
@@ -31,7 +28,7 @@
 func (s *State) needs(in Input) poolNeed {
 	capacity := s.assumed(in)
 	lowered := s.afterFailures(capacity)
-	expected := s.forecast(in.Pool.Scaling.StartTime + in.Demand.Age)
+	expected := s.expected(in)
 	current, _ := lowered.busy(s.smooth)
 	plan := load{}
 	for i, x := range s.peak() {
@@ -67,7 +64,7 @@
 	if in.Speed.TokenSeconds <= 0 && in.Speed.RequestSeconds <= 0 {
 		return s.smooth
 	}
-	return s.forecast(in.Pool.Scaling.StartTime + time.Second)
+	return s.forecast(in.Pool.Scaling.StartTime + in.Demand.Age)
 }
 
 // shares returns the part of the pool's demand that each zone has to be able to serve: that of
