--- a/scaling/state.go
+++ b/scaling/state.go
@@ -329,7 +329,7 @@
 }
 
 const (
-	minUtilisation = 0.4 // bounds of the part of its time for which an upstream may be busy
+	minUtilisation = 0.6 // bounds of the part of its time for which an upstream may be busy
 	maxUtilisation = 0.8
 	pieceSize      = 2000 // tokens of a prompt that an engine reads between the tokens of its streams
 	burstLate      = 0.1  // share of the gaps that may be too long in a burst which the headroom is for
