Use admission control where the deployment has the feature pressure

Upstreams of such deployments crash if the requests that they hold exceed their memory; plain services fail what they have no slot for; and requests of the least urgent rank are refused although they could be served late. Instances choose by counts of their peers that are a report period old, so that several fill one upstream together.

With the feature, forward asks the gate before the first send and takes room before each send: tokens at an engine, slots at a plain service. Room gives each instance a part of what is free in a report time, by its position in an order by hash. A request without room waits in order of urgency, and is refused as not run when no time is left. Plain services are chosen from two candidates drawn at random. Missing token counts get stated defaults; a request that no upstream can hold gets 413. Refusals are logged and counted. Without the feature nothing of this is built.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -71,8 +71,15 @@
 	Deadline     Cause = "deadline"     // no upstream can answer in time
 	Capacity     Cause = "capacity"     // the pool is over its capacity, and no time is left to wait
 	Organisation Cause = "organisation" // the same, and the organisation sends many times its usual load
+	NoRoom       Cause = "room"         // no upstream had room until no time was left to wait
+	TooLarge     Cause = "size"         // no upstream can hold the request
 )
 
+const causeCount = 5
+
+// Causes are all causes of a refusal.
+var Causes = [causeCount]Cause{Deadline, Capacity, Organisation, NoRoom, TooLarge}
+
 // Decision is what happens to a request. The zero value means that it is sent.
 type Decision struct {
 	Hold       time.Duration // time after which it is decided on again
--- a/admission/script_test.go
+++ b/admission/script_test.go
@@ -331,6 +331,18 @@
 		expect(c.name+" in time", y.share(y.inTime), c.minInTime)
 		expect(c.name+" value", y.value(), c.minValue)
 	}
+	return append(missed, p.checkCallers(t, name)...)
+}
+
+// checkCallers returns what of a script's expectations by organisation and by caller the run
+// misses, and logs what they got.
+func (p *play) checkCallers(t *testing.T, name string) (missed []string) {
+	t.Helper()
+	expect := func(what string, got, least float64) {
+		if got < least {
+			missed = append(missed, fmt.Sprintf("%s %.3f, expected at least %g", what, got, least))
+		}
+	}
 	var byOrganisation [organisations]tally
 	var others, returned, patient, impatient tally
 	var back time.Duration
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -233,6 +233,7 @@
 		Budget:           &budget.Budget{Ratio: r.RetryRatio, Window: r.RetryWindow, Slack: r.RetrySlack, Instances: i.instances},
 		Quarantine:       i.Quarantine,
 		Limits:           i.Limits,
+		Admission:        i.buildAdmission(),
 		Memory:           &buffer.Memory{Limit: int64(r.MemoryMegabytes) * megabyte * bodyMemoryPercent / 100},
 		Metrics:          i.metrics,
 		Check:            i.Check,
--- a/forward/end.go
+++ b/forward/end.go
@@ -26,6 +26,9 @@
 		result = "left"
 	}
 	rs.record(result, f)
+	if rs.s.Admission != nil && rs.delivered && rs.route.Stream {
+		rs.s.Admission.ObserveAnswer(rs.route.Name, time.Since(rs.arrived)-rs.firstByte)
+	}
 	switch {
 	case f == nil:
 	case rs.callerGone:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
 
+	"knapweedwell/admission"
 	"knapweedwell/background"
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
@@ -57,10 +58,12 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Limits
 	Memory           *buffer.Memory // for bodies
-	Metrics          *metric.Registry
-	Check            *invariant.Checker
-	Log              logrus.FieldLogger
-	Listen           func(network, address string) (net.Listener, error)
+	// Admission decides on requests while room is short. If it is nil, refuseOverload does.
+	Admission *admission.Control
+	Metrics   *metric.Registry
+	Check     *invariant.Checker
+	Log       logrus.FieldLogger
+	Listen    func(network, address string) (net.Listener, error)
 
 	server    *webserver.Server
 	leaving   atomic.Pointer[leaving] // the planned stop, nil before it
--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"knapweedwell/admission"
 	"knapweedwell/balancer"
 	"knapweedwell/buffer"
 	"knapweedwell/platform"
@@ -63,6 +64,13 @@
 	watched     *quarantine.Attempt // most recent send
 	traits      []quarantine.Trait
 	refusal     *quarantine.Refusal // because of a trait, nil if there was none
+
+	// Used with Server.Admission only.
+	need    int    // tokens that an engine, or slots that a plain service holds for it
+	taken   *taken // room that it has taken
+	decided bool   // whether the gate has decided on it before
+	held    bool   // whether it was held back
+	outlook admission.Outlook
 }
 
 // serve sends the request to upstreams until one of them answers or no further
@@ -78,6 +86,7 @@
 	rs.s.Budget.RecordRequest(rs.arrived, name)
 	ctx, cancel := rs.context()
 	defer cancel()
+	defer rs.releaseRoom()
 	for {
 		if ctx.Err() != nil {
 			return rs.contextDone(ctx)
@@ -85,7 +94,7 @@
 		if refusal := rs.s.Quarantine.Check(time.Now(), rs.traits); refusal != nil {
 			return rs.withhold(refusal)
 		}
-		r, ok, f := rs.chooseUpstream()
+		r, ok, f := rs.chooseUpstream(ctx)
 		if f != nil {
 			return f
 		}
@@ -98,7 +107,9 @@
 		default:
 			return rs.giveUp("the retry budget is spent")
 		}
-		if f, done := rs.handleResult(ctx, rs.send(ctx, r, rs.choice)); done {
+		res := rs.send(ctx, r, rs.choice)
+		rs.releaseRoom()
+		if f, done := rs.handleResult(ctx, res); done {
 			return f
 		}
 	}
@@ -106,7 +117,10 @@
 
 // chooseUpstream chooses the upstream of the next send and takes the right to send to it. It
 // reports false if there is none, and returns a failure if the request is refused.
-func (rs *requestState) chooseUpstream() (balancer.Request, bool, *request.Failure) {
+func (rs *requestState) chooseUpstream(ctx context.Context) (balancer.Request, bool, *request.Failure) {
+	if rs.s.Admission != nil {
+		return rs.chooseWithRoom(ctx)
+	}
 	for {
 		now := time.Now()
 		r := rs.pickRequest(now)
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -134,6 +134,7 @@
 	addedRoutes    int           // routes beyond those that the tests call
 	longTimeouts   bool          // gives all routes a timeout longer than a planned stop
 	zones          []string      // availability zones of the instances by turns
+	features       []string      // that the deployment asks for
 }
 
 // simulateRoutes runs a case with n instances on a virtual clock.
@@ -145,9 +146,15 @@
 
 // simulateZones runs a case with n instances, in the zones by turns, on a virtual clock.
 func simulateZones(t *testing.T, n int, zones []string, f func(sim *routeSimulation)) {
+	t.Helper()
+	simulateFeatures(t, n, zones, nil, f)
+}
+
+// simulateFeatures runs a case with n instances of a deployment that asks for the features.
+func simulateFeatures(t *testing.T, n int, zones, features []string, f func(sim *routeSimulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		sim := newRouteSimulation(t, n, zones)
+		sim := newRouteSimulation(t, n, zones, features)
 		defer sim.close()
 		f(sim)
 	})
@@ -155,11 +162,11 @@
 
 // newRouteSimulation starts the store, three upstreams of each service and n
 // instances, and waits 4 s of virtual time for them to be ready.
-func newRouteSimulation(t *testing.T, n int, zones []string) *routeSimulation {
+func newRouteSimulation(t *testing.T, n int, zones, features []string) *routeSimulation {
 	sim := &routeSimulation{
 		t: t, network: newNetwork(), store: platform.New(), routesVersion: 1, apiKeys: []string{edgeKey},
 		runners: map[string]*runner.Runner{}, hosts: map[string]string{}, services: []string{"calls"},
-		zones: zones,
+		zones: zones, features: features,
 	}
 	sim.packets = &packetNetwork{links: sim.network, conns: map[string]*packetConn{}}
 	sim.checker = &invariant.Checker{Report: func(name, detail string) { t.Errorf("invariant %s violated: %s", name, detail) }}
@@ -274,7 +281,7 @@
 			Routes: &setting.Routes{
 				Readiness: h + ":4", Directory: h + ":5", Exchange: h + ":6", AddressLifetime: time.Second, GracePeriod: 8 * time.Second,
 				RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Zones: regions,
-				ChangeDeadline: sim.changeDeadline,
+				ChangeDeadline: sim.changeDeadline, Features: sim.features,
 			},
 		},
 		Dial: sim.network.dialer(h), Listen: sim.network.listen, ListenPacket: sim.packets.listen, Log: sim.log, Check: sim.checker,
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -83,6 +83,7 @@
 	runs         map[string]int    // number of runs by request ID
 	received     []ReceivedRequest // requests since the last call of TakeReceived
 	running      int               // number of runs in progress
+	mostRunning  int               // largest number of runs in progress so far
 	lastReceived time.Time         // time of the most recent request
 	disconnected int               // number of requests whose client disconnected before the end
 }
@@ -110,6 +111,13 @@
 	return runs
 }
 
+// MostRunning returns the largest number of requests that ran at the same time.
+func (r *Runner) MostRunning() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mostRunning
+}
+
 // Received returns the requests since the last call of TakeReceived, in the
 // order of their arrival.
 func (r *Runner) Received() []ReceivedRequest {
@@ -280,6 +288,7 @@
 	defer r.mu.Unlock()
 	r.runs[id]++
 	r.running++
+	r.mostRunning = max(r.mostRunning, r.running)
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
