Change the order in which instances fill what is left of an upstream

With six instances and three engines, six of 18 prompts that take two fifths of an engine's memory were refused after 20 s, because their instances were the first by hash at no engine. And after half of their target, requests for plain services took any slot that was free as far as known, so that six instances ran 6 requests at a service with 2 slots.

The order now changes every six report times, with a guard of two in which an instance has the smaller of its old and new parts. Instances of a larger fleet draw for slots of plain services with a chance by what is left and by the time of a request.

--- a/admission/room.go
+++ b/admission/room.go
@@ -22,10 +22,10 @@
 	// request in a report time, and singleShare the share of what is free beyond the reserve
 	// that this request may take.
 	ampleShare  = 0.5
-	singleShare = 0.5
+	singleShare = 0.25
 	// equalParts is the number of instances up to which all have equal parts of what is free
 	// beyond the reserve. In a larger fleet those would be smaller than a request.
-	equalParts = 3
+	equalParts = 2
 	// Of the reserve, the first instance by hash may fill firstShare, each further one
 	// nextShare of the part of the one before it.
 	firstShare = 0.75
@@ -35,6 +35,11 @@
 	reportTime      = 400 * time.Millisecond
 	largeReportTime = time.Second
 	largeFleet      = 33 // instances up to which each sends its counts to all others
+	// An order of the instances holds for orderTimes report times. In the first orderGuard of
+	// them an instance has the smaller of its parts in this order and the one before, so that
+	// the counts of the earlier first instance arrive, also if clocks differ by a report time.
+	orderTimes      = 6
+	orderGuard      = 2
 	memberPeriod    = 200 * time.Millisecond
 	holdingLifetime = time.Minute // after which the counts of an unused upstream are deleted
 )
@@ -45,9 +50,12 @@
 	Capacity int
 	Peers    int // held for the requests of other instances
 	Reported int // held for all requests as the upstream reported a short time ago; zero if it did not
-	// Shared allows to fill what is left without regard to what other instances may send at
-	// the same time. The upstream then rejects what it cannot hold.
+	// Shared allows to take more than this instance's part, if Draw, a random number, is less
+	// than the ratio of what is left to the number of instances. With numbers from 0 to 1 so
+	// many take it at the same time as find room, on average. It is for upstreams that are not
+	// harmed by a few requests more.
 	Shared bool
+	Draw   float64
 }
 
 // holding is what this instance has at one incarnation of an upstream.
@@ -57,8 +65,8 @@
 	window           int64 // number of the present report time
 	present, earlier int   // least that was held in that and in the one before
 	usedAt           time.Time
-	position         int // of this instance among those that may fill the reserve
-	positionFor      uint64
+	positions        [2]int // of this instance in the present order and in the one before
+	positionsFor     uint64 // members and order for which they were found
 }
 
 // Room keeps the requests that all instances together send to an upstream within its capacity.
@@ -71,7 +79,8 @@
 // of the requests. So that a fleet that is larger than the number of requests that fit can use
 // all upstreams, each instance may add one request in a report time while half of the capacity
 // is free. With two instances the bound still holds; with more it holds as long as no more is
-// added to one upstream in a report time than half of its capacity.
+// added to one upstream in a report time than half of its capacity, and
+// as long as the wall clocks of those that add a large request agree within a report time.
 //
 // An upstream that ends takes its counts with it. The exported fields are set before the first
 // call.
@@ -94,7 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := r.holding(now, u)
-	if !r.fits(u, h, l, need) {
+	if !r.fits(now, u, h, l, need) {
 		return false
 	}
 	h.held += need
@@ -105,7 +114,7 @@
 func (r *Room) Fits(now time.Time, u *route.Upstream, l Load, need int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fits(u, r.holding(now, u), l, need)
+	return r.fits(now, u, r.holding(now, u), l, need)
 }
 
 // Ample reports whether an upstream has so much room that a request may take it before others
@@ -146,14 +155,14 @@
 }
 
 // fits reports whether there is room. The caller holds r.mu.
-func (r *Room) fits(u *route.Upstream, h *holding, l Load, need int) bool {
+func (r *Room) fits(now time.Time, u *route.Upstream, h *holding, l Load, need int) bool {
 	left := free(h, l)
 	switch {
 	case l.Capacity <= 0:
 		return true
 	case need > left:
 		return false
-	case l.Shared || len(r.live) <= 1:
+	case len(r.live) <= 1, len(r.live) > equalParts && l.Shared && l.Draw < float64(left)/float64(len(r.live)):
 		return true
 	}
 	// The others know at least of the least that was held here within the report time.
@@ -163,28 +172,37 @@
 	if added == 0 && float64(left) >= ampleShare*float64(l.Capacity) && float64(need) <= singleShare*float64(beyond) {
 		return true
 	}
-	beyondPart, reservePart := r.parts(u, h)
+	beyondPart, reservePart := r.parts(now, u, h)
 	return float64(added+need) <= beyondPart*float64(beyond)+reservePart*float64(min(before, kept))
 }
 
 // parts returns the shares of what is free beyond the reserve of an upstream, and of the
 // reserve, that this instance may fill in a report time. The shares of all instances add up to
-// one. The caller holds r.mu.
-func (r *Room) parts(u *route.Upstream, h *holding) (beyond, reserve float64) {
-	if h.positionFor != r.liveHash {
-		h.position, h.positionFor = r.positionAt(u), r.liveHash
+// one. The order of the instances changes by the wall clock, so that each is the first at some
+// upstream after a time. The caller holds r.mu.
+func (r *Room) parts(now time.Time, u *route.Upstream, h *holding) (beyond, reserve float64) {
+	length := int64(orderTimes * r.reportTime())
+	order := now.UnixNano() / length
+	if key := r.liveHash ^ uint64(order)<<1; h.positionsFor != key {
+		h.positions = [2]int{r.positionAt(u, order), r.positionAt(u, order-1)}
+		h.positionsFor = key
 	}
-	reserve = firstShare * math.Pow(nextShare, float64(h.position))
+	position := h.positions[0]
+	if now.UnixNano()%length < int64(orderGuard*r.reportTime()) {
+		position = max(position, h.positions[1])
+	}
+	reserve = firstShare * math.Pow(nextShare, float64(position))
 	if n := len(r.live); n <= equalParts {
 		return 1 / float64(n), reserve
 	}
-	return 1 / float64((h.position+1)*(h.position+2)), reserve
+	return 1 / float64((position+1)*(position+2)), reserve
 }
 
-// positionAt returns the number of instances before this one in the order by hash. The caller
+// positionAt returns the number of instances before this one in an order by hash. The caller
 // holds r.mu.
-func (r *Room) positionAt(u *route.Upstream) int {
-	hash := func(name string) uint64 { return xxhash.Sum64String(u.ID + "\x00" + name) }
+func (r *Room) positionAt(u *route.Upstream, order int64) int {
+	first := xxhash.Sum64String(u.ID) + uint64(order)*orderStep
+	hash := func(name string) uint64 { return mix(xxhash.Sum64String(name) ^ mix(first)) }
 	own, position := hash(r.Self), 0
 	for _, name := range r.live {
 		if h := hash(name); name != r.Self && cmp.Or(cmp.Compare(h, own), cmp.Compare(name, r.Self)) < 0 {
@@ -194,6 +212,25 @@
 	return position
 }
 
+// orderStep and mix are those of SplitMix64.
+const orderStep = 0x9e3779b97f4a7c15
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// reportTime returns the time in which this instance's counts arrive at all others.
+func (r *Room) reportTime() time.Duration {
+	if len(r.live) > largeFleet {
+		return largeReportTime
+	}
+	return reportTime
+}
+
 // holding returns what this instance has at an upstream now. The caller holds r.mu.
 func (r *Room) holding(now time.Time, u *route.Upstream) *holding {
 	r.update(now)
@@ -206,11 +243,7 @@
 		r.holdings[u.ID] = h
 	}
 	h.usedAt = now
-	period := reportTime
-	if len(r.live) > largeFleet {
-		period = largeReportTime
-	}
-	switch window := 1 + int64(now.Sub(r.started)/period); {
+	switch window := 1 + int64(now.Sub(r.started)/r.reportTime()); {
 	case window == h.window+1:
 		h.window, h.earlier, h.present = window, h.present, h.held
 	case window != h.window:
--- a/forward/room.go
+++ b/forward/room.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -19,8 +20,7 @@
 	// being woken: the counts of peers change without a notice.
 	roomPeriod = 20 * time.Millisecond
 	// ownPartShare is the share of the target of a plain service for which a request waits for
-	// room that only this instance fills. It then takes any that is known to be free, because
-	// such an upstream rejects what it cannot hold.
+	// room that only this instance fills. It then draws for any that is known to be free.
 	ownPartShare = 0.5
 )
 
@@ -205,11 +205,19 @@
 	peers, reported := rs.s.Picker.KnownLoad(now, u, engine == nil)
 	if engine == nil {
 		shared := now.Sub(rs.arrived).Seconds() > ownPartShare*rs.route.Aim.Seconds()
-		return admission.Load{Capacity: u.Slots, Peers: peers.Running, Reported: reported, Shared: shared}
+		return admission.Load{Capacity: u.Slots, Peers: peers.Running, Reported: reported, Shared: shared, Draw: rs.draw()}
 	}
 	return admission.Load{Capacity: engine.MemoryTokens, Peers: peers.Tokens, Reported: rs.s.Admission.ReportedHeld(now, rs.pool.Name, reported)}
 }
 
+// draw returns a random number for a draw that is repeated each roomPeriod while the request
+// waits. It is so much larger than an even one that within the time of a request half as many
+// succeed as find room.
+func (rs *requestState) draw() float64 {
+	const halfFull = 2
+	return rand.Float64() * halfFull * max(1, rs.choice.Predicted.Seconds()/roomPeriod.Seconds())
+}
+
 // releaseRoom gives back the room that the request has taken, if any.
 func (rs *requestState) releaseRoom() {
 	if rs.taken == nil {
