--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -71,6 +71,7 @@
 	decided bool   // whether the gate has decided on it before
 	held    bool   // whether it was held back
 	outlook admission.Outlook
+	drawn   float64 // most recent random number for a slot of a plain service
 }
 
 // serve sends the request to upstreams until one of them answers or no further
--- a/forward/room.go
+++ b/forward/room.go
@@ -155,6 +155,7 @@
 // takeRoom takes room and the right to send at the chosen upstream or, if it has none, at
 // another one, which becomes the chosen one.
 func (rs *requestState) takeRoom(now time.Time, r *balancer.Request, ticket *admission.Ticket) bool {
+	rs.drawn = rs.draw()
 	mayTake := rs.s.Admission.Queue.MayTake(rs.pool.Name, rs.rank, ticket)
 	if rs.takeAt(now, rs.choice.Upstream, mayTake) {
 		return true
@@ -205,7 +206,7 @@
 	peers, reported := rs.s.Picker.KnownLoad(now, u, engine == nil)
 	if engine == nil {
 		shared := now.Sub(rs.arrived).Seconds() > ownPartShare*rs.route.Aim.Seconds()
-		return admission.Load{Capacity: u.Slots, Peers: peers.Running, Reported: reported, Shared: shared, Draw: rs.draw()}
+		return admission.Load{Capacity: u.Slots, Peers: peers.Running, Reported: reported, Shared: shared, Draw: rs.drawn}
 	}
 	return admission.Load{Capacity: engine.MemoryTokens, Peers: peers.Tokens, Reported: rs.s.Admission.ReportedHeld(now, rs.pool.Name, reported)}
 }
