--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
 
+	"knapweedwell/admission"
 	"knapweedwell/background"
 	"knapweedwell/balancer"
 	"knapweedwell/budget"
@@ -59,11 +60,13 @@
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Limits
 	Memory           *buffer.Memory // for bodies
-	Usage            *usage.Service // counts requests; nil if they are not counted
-	Metrics          *metric.Registry
-	Check            *invariant.Checker
-	Log              logrus.FieldLogger
-	Listen           func(network, address string) (net.Listener, error)
+	// Admission decides on requests while room is short. If it is nil, refuseOverload does.
+	Admission *admission.Control
+	Usage     *usage.Service // counts requests; nil if they are not counted
+	Metrics   *metric.Registry
+	Check     *invariant.Checker
+	Log       logrus.FieldLogger
+	Listen    func(network, address string) (net.Listener, error)
 	// HeadLimits returns the limits of the configuration in force on heads and idle
 	// connections. Heads, Port and Drops bound and count the callers; see webserver.Server.
 	HeadLimits func() webserver.Limits
