--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -73,6 +73,7 @@
 	Running       int           // requests known to run at the upstream
 	Pending       int           // tokens known to be read there before those of the request
 	PeersAge      time.Duration // age of the oldest counts of a peer that were used
+	Outlook       Outlook       // at all candidates
 
 	slowdown float64 // expected slowdown of the upstream, as in speedStats
 }
--- a/balancer/selection.go
+++ b/balancer/selection.go
@@ -28,6 +28,7 @@
 	best, excluded         Choice
 	bestCost, excludedCost float64
 	running                int
+	outlook                Outlook
 }
 
 // choose returns the choice, one without an upstream if there is none. The caller holds p.mu.
@@ -35,6 +36,7 @@
 	p.sweep(now)
 	stats := p.poolStats(r.Pool.Name)
 	sel := selection{now: now, stats: stats, readWeight: readWeight, bestCost: math.Inf(1), excludedCost: math.Inf(1)}
+	sel.outlook.Predicted = math.MaxInt64
 	lowest := stats.observeRank(now, r.Rank, r.LowestRank)
 	sel.zoned = p.strict(r.Pool, stats)
 	sel.split = sel.zoned && p.updateSplit(now, stats, candidates)
@@ -58,7 +60,7 @@
 	if sel.best.Upstream == nil {
 		sel.best = sel.excluded
 	}
-	sel.best.HasLowestRank = lowest
+	sel.best.HasLowestRank, sel.best.Outlook = lowest, sel.outlook
 	if sel.zonesDue {
 		p.updateZones(now, sel.zones, r)
 	}
@@ -124,12 +126,14 @@
 		sel.zones.add(u, c.Running, p.busySeconds(sel.now, sel.stats, s, r, c))
 	}
 	cost += p.random() * (jitter.Seconds() + relativeJitter*math.Abs(cost))
-	switch {
-	case excluded:
+	if excluded {
 		if cost < sel.excludedCost {
 			sel.excluded, sel.excludedCost = c, cost
 		}
-	case cost < sel.bestCost:
+		return
+	}
+	sel.outlook.add(&c)
+	if cost < sel.bestCost {
 		sel.best, sel.bestCost = c, cost
 	}
 }
