Order more upstreams for late streams only from eight of a hundred on

Change: a share of 3% still keeps upstreams from being given back; more are ordered for a need that exceeds what comes, if the speed is known, or from 8% on.

--- a/scaling/need.go
+++ b/scaling/need.go
@@ -57,11 +57,10 @@
 	return n
 }
 
-// expected returns the demand when ordered upstreams would serve. The trend counts only if it
-// is known what an upstream can take: where that is derived from the load that worked so far,
-// each rise, such as that at the start, looks like a lack.
+// expected returns the demand when ordered upstreams would serve. Without a known speed the trend
+// does not count.
 func (s *State) expected(in Input) load {
-	if in.Speed.TokenSeconds <= 0 && in.Speed.RequestSeconds <= 0 {
+	if !in.speedKnown() {
 		return s.smooth
 	}
 	return s.forecast(in.Pool.Scaling.StartTime + in.Demand.Age)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -184,6 +184,13 @@
 	return ""
 }
 
+// speedKnown reports whether the speed of the upstreams was measured. Otherwise what one can take
+// is derived from the load that worked so far, so that each rise, such as that at the start,
+// looks like a lack.
+func (in *Input) speedKnown() bool {
+	return in.Speed.TokenSeconds > 0 || in.Speed.RequestSeconds > 0
+}
+
 // presentOnly returns the plans of a decision that holds.
 func (s *State) presentOnly(in Input) []ZonePlan {
 	plans := make([]ZonePlan, 0, len(in.Zones))
@@ -204,7 +211,7 @@
 		spare = max(n.need-n.secure, 0)
 	}
 	switch total := coming[Ordinary] + coming[Reclaimable]; {
-	case total < n.least, total < n.need && s.isLate(lateMargin):
+	case total < n.least && (in.speedKnown() || s.isLate(lateHigh)), total < n.need && s.isLate(lateHigh):
 		want[Reclaimable] = max(coming[Reclaimable], spare)
 		if s.mayOrder(z.Name, Ordinary) {
 			want[Ordinary] = max(coming[Ordinary], n.secure, n.need-want[Reclaimable])
