Order no reclaimable upstreams in place of others while the speed is unknown

Change: both wait for the speed; 'a reclaim would leave too few' applies only where there are reclaimable ones.

--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -217,10 +217,14 @@
 			want[Ordinary] = max(coming[Ordinary], n.secure, n.need-want[Reclaimable])
 		}
 		reason = "the demand needs more"
-	case coming[Ordinary] < n.secureLeast && s.mayOrder(z.Name, Ordinary):
+	case coming[Ordinary] < n.secureLeast && coming[Reclaimable] > 0 && s.mayOrder(z.Name, Ordinary):
 		want[Ordinary] = n.secure
 		reason = "a reclaim would leave too few"
 	case !hold && now.Sub(s.givenBackAt[z.Name]) >= s.returnPeriod(in):
+		if !in.speedKnown() {
+			// The need is too uncertain to pay for both kinds until one replaces the other.
+			spare = coming[Reclaimable]
+		}
 		want, reason = giveBack(z, coming, n, spare)
 	}
 	if bound(&want, in.Pool.Scaling, coming) && reason == "" {
