--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -184,6 +184,14 @@
 	return ""
 }
 
+// lacks reports whether a zone with so many upstreams needs more.
+func (s *State) lacks(in Input, n zoneNeed, total int) bool {
+	if in.speedKnown() && total < n.least {
+		return true
+	}
+	return total < n.need && s.isLate(lateHigh)
+}
+
 // speedKnown reports whether the speed of the upstreams was measured. Otherwise what one can take
 // is derived from the load that worked so far, so that each rise, such as that at the start,
 // looks like a lack.
@@ -211,7 +219,7 @@
 		spare = max(n.need-n.secure, 0)
 	}
 	switch total := coming[Ordinary] + coming[Reclaimable]; {
-	case total < n.least && (in.speedKnown() || s.isLate(lateHigh)), total < n.need && s.isLate(lateHigh):
+	case s.lacks(in, n, total):
 		want[Reclaimable] = max(coming[Reclaimable], spare)
 		if s.mayOrder(z.Name, Ordinary) {
 			want[Ordinary] = max(coming[Ordinary], n.secure, n.need-want[Reclaimable])
