--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -120,9 +120,9 @@
 // refused are sent again for a while: how soon it serves is not checked.
 func assertServes(t *testing.T, n *node) {
 	t.Helper()
-	const patience = 20 * time.Second
+	const serveTimeout = 20 * time.Second
 	var err error
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(serveTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if err = callOnce(n, requestKinds[0].path, nil, 0, 5*time.Second); err == nil {
 			return
 		}
@@ -157,7 +157,7 @@
 // loopback address.
 const clientsSeed = 30
 
-// testCrowd checks that an instance bears a crowd at one of its ports.
+// testCrowd checks that an instance withstands a crowd at one of its ports.
 func testCrowd(t *testing.T, seed uint64, port int, c crowdClient) {
 	t.Helper()
 	tb, n := startSmallInstance(t, seed, crowdMegabytes, 0)
