Order upstreams and control admission only where the settings ask for it

Change: settings OrderUpstreams in [Duties] and AdmissionControl in [Routes], false by default; the platform's template does not set them. Measured: setting, edge and simulation pass; both stay covered by their tests.

--- a/edge/admission.go
+++ b/edge/admission.go
@@ -11,7 +11,8 @@
 // buildAdmission builds the admission control and registers its metrics. It returns nil for a
 // deployment that does not ask for it.
 func (i *Instance) buildAdmission() *admission.Control {
-	if !i.Settings.Routes.HasFeature(setting.PressureFeature) {
+	r := i.Settings.Routes
+	if !r.AdmissionControl || !r.HasFeature(setting.PressureFeature) {
 		return nil
 	}
 	c := admission.NewControl(time.Now(), i.Settings.Name, i.Heartbeats.Members, i.Log)
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -13,11 +13,12 @@
 	"knapweedwell/usage"
 )
 
-// buildScaling builds the service that orders upstreams, if the platform names that duty.
+// buildScaling builds the service that orders upstreams, if the platform names that duty
+// and the settings ask for it.
 // It is called after buildDuties.
 func (i *Instance) buildScaling() {
 	d := i.Settings.Duties
-	if !d.Has(setting.ScalingDuty) {
+	if !d.Has(setting.ScalingDuty) || !d.OrderUpstreams {
 		return
 	}
 	i.Scaling = &scaling.Service{
--- a/edge/scaling_test.go
+++ b/edge/scaling_test.go
@@ -73,7 +73,9 @@
 	}{
 		{nil, false},
 		{&setting.Duties{Names: []string{setting.UsageDuty}}, false},
-		{&setting.Duties{Names: []string{setting.UsageDuty, setting.ScalingDuty}}, true},
+		{&setting.Duties{Names: []string{setting.UsageDuty, setting.ScalingDuty}}, false},
+		{&setting.Duties{Names: []string{setting.UsageDuty}, OrderUpstreams: true}, false},
+		{&setting.Duties{Names: []string{setting.UsageDuty, setting.ScalingDuty}, OrderUpstreams: true}, true},
 	} {
 		i := &Instance{
 			Settings: &setting.Settings{Name: "front-1", Routes: &setting.Routes{}, Duties: c.duties},
--- a/setting/duties.go
+++ b/setting/duties.go
@@ -24,6 +24,8 @@
 	UsageWindow    time.Duration // length of a window of usage
 	UsageTolerance float64       // relative error that a report may have
 	UsageDeadline  time.Duration // time after a window's end in which its report is due
+	// OrderUpstreams asks for orders of upstreams by demand, if the platform names that duty.
+	OrderUpstreams bool
 }
 
 // Has reports whether the duty is one of those that the platform names.
@@ -54,6 +56,7 @@
 		UsageTolerance: optionalFloat(r, "UsageTolerance", defaultUsageTolerance, 0, 1),
 		UsageDeadline:  time.Duration(optionalInt(r, "UsageDeadlineSeconds", defaultUsageDeadlineSeconds, 1, maxDutySeconds)) * time.Second,
 	}
+	d.OrderUpstreams = r.Bool("OrderUpstreams", false)
 	r.Finish()
 	return d
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -62,6 +62,9 @@
 	// Features names what the deployment asks for beyond serving routes. Unknown ones have
 	// no effect.
 	Features []string
+	// AdmissionControl asks for admission control where the deployment has the feature
+	// PressureFeature.
+	AdmissionControl bool
 	// ZoneCost and RegionCost are the delays that the operator would accept to save a
 	// megabyte of traffic between availability zones, or between regions.
 	ZoneCost   time.Duration
@@ -208,6 +211,7 @@
 		ZoneCost:        time.Duration(r.Int("ZoneCostMillisPerMegabyte", defaultZoneCostMillis, 0, maxCostMillis)) * time.Millisecond,
 		RegionCost:      time.Duration(r.Int("RegionCostMillisPerMegabyte", defaultRegionCostMillis, 0, maxCostMillis)) * time.Millisecond,
 	}
+	routes.AdmissionControl = r.Bool("AdmissionControl", false)
 	// The platform may name no heartbeat; the value is empty then.
 	if r.Text("UpstreamHeartbeatMillis", "") != "" {
 		routes.UpstreamHeartbeat = time.Duration(r.Int("UpstreamHeartbeatMillis", 0, 1, maxHeartbeatMillis)) * time.Millisecond
--- a/simulation/edge_duties_test.go
+++ b/simulation/edge_duties_test.go
@@ -21,6 +21,7 @@
 		sim.duties = &setting.Duties{
 			Address: dutyAddress, Names: []string{setting.UsageDuty, setting.ScalingDuty}, CallsPerSecond: 50, Lease: 3 * time.Second,
 			UsageWindow: 5 * time.Second, UsageTolerance: 0.05, UsageDeadline: 10 * time.Second,
+			OrderUpstreams: true,
 		}
 		for i := range n {
 			sim.startInstance(i)
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -290,7 +290,7 @@
 			Routes: &setting.Routes{
 				Readiness: h + ":4", Directory: h + ":5", Exchange: h + ":6", AddressLifetime: time.Second, GracePeriod: 8 * time.Second,
 				RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Zones: regions,
-				ChangeDeadline: sim.changeDeadline, Features: sim.features,
+				ChangeDeadline: sim.changeDeadline, Features: sim.features, AdmissionControl: true,
 			},
 		},
 		Dial: sim.network.dialer(h), Listen: sim.network.listen, ListenPacket: sim.packets.listen, Log: sim.log, Check: sim.checker,
