Review: case 10, a resumed stream that is truncated looks complete

Cause: an answer without a length that ends before its first event counts as the end of the stream once events were relayed before.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 	"stale":       runStale,
 	"refused":     runRefused,
 	"resurrected": runResurrected,
+	"truncated":   runTruncated,
 }
 
 func main() {
--- a/review/harness/refused.go
+++ b/review/harness/refused.go
@@ -9,11 +9,14 @@
 	"time"
 )
 
-// failureBytes is the size of the body with which a runner in trouble fails a request.
-const failureBytes = 3 << 20
+const (
+	failureBytes = 3 << 20 // size of the body with which a runner in trouble fails a request
+	failShare    = 9       // runs of failPeriod that fail: x .45
+	failPeriod   = 20
+)
 
-// failingRunner runs each booking and, while it is in trouble, answers that it is unavailable,
-// with a long body and without stating that it did not run the request.
+// failingRunner runs each booking and, while it is in trouble, answers some of them that it is
+// unavailable, with a long body and without stating that it did not run the request.
 type failingRunner struct {
 	id      string
 	trouble bool
@@ -32,11 +35,13 @@
 	id := r.Header.Get("X-Knapweedwell-Request-Id")
 	f.mu.Lock()
 	f.runs = append(f.runs, id)
+	n := len(f.runs)
+	fail := f.trouble && n*failShare/failPeriod > (n-1)*failShare/failPeriod
 	f.mu.Unlock()
 	h := w.Header()
 	h.Set("X-Knapweedwell-Request-Id", id)
 	h.Set("X-Knapweedwell-Response-Signature", "3e1b.07."+id)
-	if !f.trouble {
+	if !fail {
 		fmt.Fprintf(w, "booked %s", id)
 		return
 	}
@@ -78,7 +83,7 @@
 	}
 	time.Sleep(contactTime + time.Second)
 	var attempts []sent
-	for n := range 2 * len(w.instances) {
+	for n := range 4 * len(w.instances) {
 		i := w.instances[n%len(w.instances)]
 		for range 2 {
 			a := send(i, http.MethodPost, "/puxa403/2f", oldKey, callTimeout, []byte(fmt.Sprintf("booking %d", n)))
