Review: an entry that was shown, streams that have not begun run twice

Cause: only an upstream that has begun to answer is asked whether it runs before its request goes on elsewhere.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -23,6 +23,11 @@
 
 // send sends one request with an ID of its own to an instance.
 func send(to *instance, method, path, key string, timeLeft time.Duration, body []byte) answer {
+	return sendWith(to, method, path, key, timeLeft, body, nil)
+}
+
+// sendWith is send with further headers.
+func sendWith(to *instance, method, path, key string, timeLeft time.Duration, body []byte, headers map[string]string) answer {
 	a := answer{id: fmt.Sprintf("%016x", 0x1c41d07be2a00000+lastID.Add(1)), sentAt: time.Now()}
 	req, err := http.NewRequest(method, "http://"+to.addresses[callerPort]+path, bytes.NewReader(body))
 	if err != nil {
@@ -33,6 +38,9 @@
 	req.Header.Set("X-Knapweedwell-Request-Id", a.id)
 	req.Header.Set("X-Knapweedwell-Deadline-Ms", fmt.Sprint(timeLeft.Milliseconds()))
 	req.Header.Set("Authorization", "Token "+key)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
 	client := http.Client{Timeout: timeLeft}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 	"refused":     runRefused,
 	"resurrected": runResurrected,
 	"truncated":   runTruncated,
+	"slow":        runSlow,
 }
 
 func main() {
