--- a/forward/requeststate.go
+++ b/forward/requeststate.go
@@ -9,6 +9,7 @@
 	"knapweedwell/admission"
 	"knapweedwell/balancer"
 	"knapweedwell/buffer"
+	"knapweedwell/invariant"
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
 	"knapweedwell/request"
@@ -288,6 +289,8 @@
 
 // begin sets the headers of an upstream's answer to the caller.
 func (rs *requestState) begin(status int, header http.Header) {
+	rs.s.Check.Check(invariant.TrueNotRun, rs.route.Repeatable() || !impliesNotRun(status),
+		"request %s is answered %d after %d runs", rs.headers.ID, status, rs.runs)
 	rs.begun = true
 	rs.status = status
 	rs.firstByte = time.Since(rs.arrived)
--- a/forward/transfer.go
+++ b/forward/transfer.go
@@ -2,27 +2,22 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"knapweedwell/balancer"
-	"knapweedwell/buffer"
 	"knapweedwell/httpwire"
 	"knapweedwell/platform"
 	"knapweedwell/quarantine"
 )
 
 const (
-	maxForeignAnswers = 3       // answers to other requests that are read before the connection is given up
-	maxBufferedBytes  = 2 << 20 // largest answer that is read completely before it is relayed
+	maxForeignAnswers = 3 // answers to other requests that are read before the connection is given up
 	readBufferBytes   = 4 << 10
-	relayBytes        = 32 << 10 // part of a large answer for which the caller has writeTimeout
 )
 
 // result is the outcome of one send.
@@ -168,107 +163,6 @@
 	t.rs.s.Limits.Observe(time.Now(), t.rs.choice.Upstream, headers.HasLimit, headers.Limit)
 }
 
-// relayAnswer checks and relays the answer of an upstream that ran the request.
-func (t *transfer) relayAnswer(headers platform.AnswerHeaders) result {
-	status := t.resp.StatusCode
-	success := status >= http.StatusOK && status < http.StatusMultipleChoices
-	switch {
-	case success && !headers.Signed:
-		t.keep = false
-		return broken{reason: "the answer is not signed"}
-	case t.resp.Header.Get("Content-Encoding") != "":
-		t.keep = false
-		return broken{reason: "the answer is encoded"}
-	case success && t.rs.route.Stream:
-		return t.relayStream()
-	case t.rs.begun:
-		t.keep = false
-		return broken{reason: "the stream was not taken up: " + t.resp.Status}
-	}
-	return t.relayWhole(success)
-}
-
-// relayWhole reads an answer that is not a stream to its end before any of it is
-// written to the caller, unless it is larger than maxBufferedBytes or the memory for bodies is
-// spent.
-func (t *transfer) relayWhole(success bool) result {
-	status := t.resp.StatusCode
-	body := t.rs.newBuffer()
-	err := body.Fill(t.resp.Body, t.resp.ContentLength, maxBufferedBytes)
-	switch {
-	case errors.Is(err, io.ErrShortBuffer):
-		return t.relayLarge(body)
-	case errors.Is(err, buffer.ErrSpent):
-		t.rs.s.logMemorySpent()
-		return t.relayLarge(body)
-	case err != nil:
-		t.keep = false
-		return broken{reason: errors.Wrap(err, "read answer").Error()}
-	}
-	t.attempt.First(time.Now())
-	httpwire.StripHop(t.resp.Header)
-	a := &answer{status: status, header: t.resp.Header, body: body.Bytes()}
-	if success || (status < http.StatusInternalServerError && !impliesNotRun(status)) {
-		t.rs.deliver(a)
-		return served{}
-	}
-	if impliesNotRun(status) && !t.rs.route.Repeatable() {
-		// Relayed to the caller, the status would state that the request did not run.
-		return broken{reason: "the upstream answered " + t.resp.Status + " without saying that it did not run the request"}
-	}
-	return failed{answer: a}
-}
-
-// impliesNotRun reports whether a status states that a request was not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// relayLarge relays an answer that cannot be buffered. The start of its body was already
-// read.
-func (t *transfer) relayLarge(start *buffer.Buffer) result {
-	httpwire.StripHop(t.resp.Header)
-	t.rs.begin(t.resp.StatusCode, t.resp.Header)
-	t.rs.w.WriteHeader(t.resp.StatusCode)
-	for text := range slices.Chunk(start.Bytes(), relayBytes) {
-		if res := t.writePart(text); res != nil {
-			return res
-		}
-	}
-	start.Free()
-	buf := make([]byte, relayBytes)
-	for {
-		n, err := t.resp.Body.Read(buf)
-		if res := t.writePart(buf[:n]); res != nil {
-			return res
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			t.rs.delivered = true
-			return served{}
-		case err != nil:
-			t.keep = false
-			return broken{reason: errors.Wrap(err, "read answer").Error()}
-		}
-	}
-}
-
-// writePart writes a part of a large answer. It returns the result of the send if the caller
-// does not take it, nil otherwise.
-func (t *transfer) writePart(text []byte) result {
-	t.rs.extendWrite()
-	if _, err := t.rs.w.Write(text); err != nil {
-		t.keep = false
-		t.rs.callerGone = true
-		return broken{reason: errors.Wrap(errWriteToCaller, err.Error()).Error()}
-	}
-	return nil
-}
-
 // skipBody reads the body of a short answer that is not relayed, so that the
 // connection can be reused.
 func (t *transfer) skipBody() {
