--- a/simulation/edge_promise_test.go
+++ b/simulation/edge_promise_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// TestSignedMisdirectionHasRun guards against a request that runs twice, or is refused although it
+// has run, because the upstream that ran it fails it with status 421: another upstream, which
+// would not have run it, signs nothing.
+func TestSignedMisdirectionHasRun(t *testing.T) {
+	for _, path := range []string{"/book/1", "/once/1"} {
+		for name, body := range map[string]string{"with a length": "Content-Length: 4\r\n\r\nfail", "without a length": "\r\nfail"} {
+			t.Run(path+", "+name, func(t *testing.T) {
+				simulateRoutes(t, 1, func(sim *routeSimulation) {
+					sim.expectUnknownOutcome(path, failureHead(421)+body)
+				})
+			})
+		}
+	}
+}
+
 // expectUnknownOutcome sends a request that may run once to an upstream that runs it and sends
 // the text, and expects that nothing is promised to the caller.
 func (sim *routeSimulation) expectUnknownOutcome(path, text string) {
