Retry a request whose failure is too long to be buffered

What callers saw: a request that may be repeated got a 500 or 503 with a long body although another upstream would have served it; the same failure with a short body is retried.

Evidence: TestLongFailureIsRetried, 3 of 6 cases failed before (500, 503 and 421 with 2 MB).

Why this works: relayLarge asks whether the answer is a failure before it begins the caller's answer, and takes a retry if another upstream can be tried. Such a failure cannot be kept in case that the retry fails, too: the caller then gets 502. Without another upstream, without budget, or for a request that may run once, it is relayed as it is.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -87,8 +87,13 @@
 }
 
 // relayLarge relays an answer that cannot be buffered. The start of its body was already
-// read.
+// read. A failure is not kept in case that no other upstream serves the request, so it is
+// relayed only where no other one can be tried.
 func (t *transfer) relayLarge(start *buffer.Buffer) result {
+	if isFailure(t.resp.StatusCode) && t.rs.mayRetry() && t.rs.reserveRetry(time.Now()) {
+		t.keep = false
+		return broken{reason: "the upstream answered " + t.resp.Status + " with a body that cannot be buffered"}
+	}
 	httpwire.StripHop(t.resp.Header)
 	t.rs.begin(t.resp.StatusCode, t.resp.Header)
 	t.rs.w.WriteHeader(t.resp.StatusCode)
