Apply only what is news of the store's changes

Cause: an instance that was cut off from the store is kept up to date by its peers. When the cut ends it goes on watching from where it was, and its list is newer than that. applyChanges asked only whether the whole answer was older than the list, and applied one by one changes that the list held already: the upstream's write put it back, its removal then began a retention of 2 s. That counted as a change, and the peers fetched it.

Evidence: TestCutInstanceRevivesNothing failed before in 8 of 20 cases, for each instance that follows the store; its log has the entry back at the returned instance 3 ms after the cut, with a mark that is none of the store's, and 3 ms later at the others (docs/incidents/2026-12-07-old-changes.md). TestOldChangesAreNoNews and TestPassedEntry fail with each of three mutations of the fix.

Why this works: of an answer's changes only the last one of each entry counts, so that nothing is used that is over by then, and a write counts only if it is newer than the revision up to which the list holds all changes. An entry that came and went within an answer stays out of use, and its going is passed on to peers that use it meanwhile.

--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -225,11 +225,17 @@
 
 // written is put for an entry that was written in this era.
 func (l *entryList) written(e *route.Upstream) bool {
-	doubted := l.doubted[e.ID]
-	delete(l.doubted, e.ID)
+	doubted := l.endDoubt(e.ID)
 	return l.put(e) || doubted
 }
 
+// endDoubt ends the doubt about an entry and reports whether there was any.
+func (l *entryList) endDoubt(id string) bool {
+	doubted := l.doubted[id]
+	delete(l.doubted, id)
+	return doubted
+}
+
 // retains reports whether an entry is used although the store does not list it.
 func (l *entryList) retains(id string) bool {
 	_, ok := l.retained[id]
--- a/roster/service.go
+++ b/roster/service.go
@@ -212,31 +212,30 @@
 }
 
 func (s *Service) applyChanges(c platform.Changes) {
+	changes := s.decodeChanges(c)
 	s.update(false, func(l *entryList) bool {
 		if c.Era != l.era || l.outdated(c.Revision) {
 			return false
 		}
 		l.completeAt = s.completeAt()
-		changed := false
-		var gone []string
-		for _, ev := range c.Events {
-			if ev.Removed {
-				gone = append(gone, ev.Object.Name)
-			}
-		}
-		l.detectExpiry(time.Now(), gone)
-		for _, ev := range c.Events {
-			e := s.decodeEntry(ev.Object)
-			if ev.Removed || e == nil {
-				changed = l.remove(time.Now(), ev.Object.Name) || changed
-				continue
-			}
-			changed = l.written(e) || changed
-		}
-		return l.commit(c.Revision, changed)
+		return l.applyChanges(time.Now(), c.Revision, changes)
 	})
 }
 
+// decodeChanges decodes changes of the store. An entry that cannot be decoded counts as gone.
+func (s *Service) decodeChanges(c platform.Changes) []storeChange {
+	var changes []storeChange
+	for _, ev := range c.Events {
+		change := storeChange{id: ev.Object.Name, gone: true}
+		if !ev.Removed {
+			change.entry, change.revision = s.decodeEntry(ev.Object), ev.Object.Revision
+			change.gone = change.entry == nil
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
 // decodeEntry decodes an entry of the store. It returns nil if the entry cannot
 // be decoded, and then no upstream is used for it.
 func (s *Service) decodeEntry(o platform.Object) *route.Upstream {
