Keep an entry that is known to be gone out of use though a peer retains it

Cause: takeEntries took an entry that a peer only retains, and that is known to be gone here, unless it came with a whole list; with a whole list it took that of an earlier start of the upstream.

Why this works: a retained entry is none that the store lists, so that it can be no news of an upstream which is known to be gone. Starts of an upstream are ordered by their times. That the entry stays out of use is logged as a change, so that peers which ask this instance learn of it.

--- a/roster/era.go
+++ b/roster/era.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// holds reports whether the incarnation of an entry was removed, and whether it may have
-// expired.
+// holds reports whether the incarnation of an entry or a later one was removed, and whether it may
+// have expired.
 func (g *goneEntries) holds(e *route.Upstream) (gone, expired bool) {
 	r, ok := g.entries[e.ID]
-	gone = ok && r.born == e.Born
+	gone = ok && e.Born <= r.born
 	return gone, gone && r.expired
 }
 
--- a/roster/fetch.go
+++ b/roster/fetch.go
@@ -92,7 +92,9 @@
 		_, missing := retained[e.ID]
 		gone, _ := l.gone.holds(e)
 		switch {
-		case missing && (l.entries[e.ID] != nil || (f.Whole && gone)):
+		case missing && l.entries[e.ID] != nil:
+		case missing && gone:
+			l.logChange(e.ID)
 		case f.Whole:
 			l.put(e)
 		default:
--- a/roster/fetch_test.go
+++ b/roster/fetch_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,22 @@
 		assert.Assert(t, !r.Accepts("a") && r.Accepts("b"), "%d ms: %v", millis, r.Entries)
 	}
 }
+
+// TestRetainedEntryDoesNotComeBack guards against an upstream that has left and is used again, because
+// a peer retains its entry, or that of an earlier start of it.
+func TestRetainedEntryDoesNotComeBack(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		for _, start := range []int64{2, 1} {
+			t.Run(fmt.Sprintf("whole %t, start %d", whole, start), func(t *testing.T) {
+				l, now := newEntryList(), time.Unix(1000, 0)
+				l.replaceAll(now, 5, []*route.Upstream{born("a", 2), born("b", 1)})
+				l.commit(8, l.remove(now, "a"))
+				l.applyFetched(now, fetchReply{
+					Mark: 8<<localMarkBits + 1, Revision: 8, Whole: whole, Entries: []route.Upstream{*born("a", start), *born("b", 1)},
+					Retained: []retainedEntry{{ID: "a", Millis: 2000}},
+				})
+				assert.Assert(t, !l.snapshot().Accepts("a") && l.snapshot().Accepts("b"))
+			})
+		}
+	}
+}
