Compare lists of upstreams by what they know, and pass on each removal

What callers could see: an upstream that has left stays in use, or comes back, at an instance that relies on its peers.

Cause: a list's mark orders the changes that an instance has seen. It was taken for what the instance knows.

Why this works: an answer of an older revision is no news. Marks reach the known revision where they tell of a removal. Gaps are kept, bounded and passed on, and a mark within one gets a whole list.

--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -17,9 +17,8 @@
 	localMarkBits = 8
 	// Entries that are removed at once count as expired if there are at least
 	// minExpired of them and at least one in expiredDivisor of all entries.
-	minExpired       = 2
-	expiredDivisor   = 3
-	maxLoggedChanges = 512 // changes that are kept for peers
+	minExpired     = 2
+	expiredDivisor = 3
 )
 
 // entryList is the current list of entries. Its state depends on nothing but
@@ -52,7 +51,8 @@
 	// answered ever since; zero if it may have been away for so long that entries expired.
 	completeAt    time.Time
 	changes       []change    // most recent changes, the oldest first
-	completeAfter int64       // mark after which changes is complete
+	completeAfter int64       // mark after which changes is complete, but for gaps
+	gaps          []gap       // the oldest first
 	unlisted      bool        // no complete list has been applied in this era
 	news          []retention // changes of retained since they were last taken
 }
@@ -63,12 +63,6 @@
 	until time.Time // zero at the end
 }
 
-// change is one entry that changed.
-type change struct {
-	mark int64
-	id   string
-}
-
 func newEntryList() *entryList {
 	return &entryList{
 		entries: map[string]*route.Upstream{}, retained: map[string]time.Time{}, departures: map[string]departure{}, unlisted: true,
@@ -98,7 +92,12 @@
 		l.doubt(entries)
 	}
 	changed := l.reconcile(now, entries)
-	return l.commit(revision, changed || first)
+	gap := !first && revision > l.revision
+	if gap {
+		l.logGap(revision << localMarkBits)
+	}
+	// Retained entries are no news to the peers until they are dropped.
+	return l.commit(revision, changed || first || (gap && len(l.retained) == 0))
 }
 
 // reconcile makes the entries equal to a complete list. It reports whether
@@ -153,22 +152,6 @@
 	return changed
 }
 
-// setMark sets the mark of the list and of the changes since the last call.
-func (l *entryList) setMark(mark int64) {
-	l.mark = mark
-	if l.unlisted {
-		l.unlisted = false
-		l.completeAfter = mark
-	}
-	for i := len(l.changes) - 1; i >= 0 && l.changes[i].mark == 0; i-- {
-		l.changes[i].mark = mark
-	}
-	if over := len(l.changes) - maxLoggedChanges; over > 0 {
-		l.completeAfter = l.changes[over-1].mark
-		l.changes = append([]change(nil), l.changes[over:]...)
-	}
-}
-
 // pointers returns pointers to entries.
 func pointers(entries []route.Upstream) []*route.Upstream {
 	all := make([]*route.Upstream, len(entries))
@@ -178,33 +161,6 @@
 	return all
 }
 
-// logChange logs the change of an entry. setMark sets the mark of the change.
-func (l *entryList) logChange(id string) {
-	l.changes = append(l.changes, change{id: id})
-}
-
-// changesAfter returns the entries that changed after a mark and the IDs of
-// those that were removed. It reports false if the logged changes do not reach
-// back so far.
-func (l *entryList) changesAfter(mark int64) (entries []route.Upstream, removed []string, ok bool) {
-	if mark < l.completeAfter || mark == 0 {
-		return nil, nil, false
-	}
-	seen := map[string]bool{}
-	for _, c := range l.changes {
-		if c.mark <= mark || seen[c.id] {
-			continue
-		}
-		seen[c.id] = true
-		if e := l.entries[c.id]; e != nil {
-			entries = append(entries, *e)
-		} else {
-			removed = append(removed, c.id)
-		}
-	}
-	return entries, removed, true
-}
-
 // put adds or replaces an entry. It reports whether anything changed. That a
 // retained entry is listed again is a change, because a peer that only retains
 // it would delete it.
@@ -291,7 +247,7 @@
 		l.deleteEntry(id, true)
 		dropped = true
 	}
-	return dropped && l.commit(0, true)
+	return dropped && l.commit(l.revision, true)
 }
 
 // snapshot returns the list as it is now.
--- a/roster/era.go
+++ b/roster/era.go
@@ -74,7 +74,7 @@
 	}
 	l.restored = l.era > 0
 	l.era, l.mark, l.revision = era, 0, 0
-	l.changes, l.completeAfter, l.unlisted = nil, 0, true
+	l.changes, l.gaps, l.completeAfter, l.unlisted = nil, nil, 0, true
 	if !l.restored {
 		return
 	}
--- a/roster/fetch.go
+++ b/roster/fetch.go
@@ -20,6 +20,9 @@
 	Mark     int64
 	Revision int64 // of the store up to which the peer has all changes; zero from earlier builds
 	Whole    bool  // Entries are all entries of the peer, not only the changed ones
+	// GapEnd is the mark up to which not all changes are known one by one; zero if they are, and
+	// from earlier builds.
+	GapEnd   int64
 	Entries  []route.Upstream
 	Removed  []string
 	Expired  []string        // those of Removed that may have expired although their upstreams run
@@ -50,7 +53,7 @@
 	}
 	entries, removed, ok := l.changesAfter(req.After)
 	if asked := l.resolve(Position{Era: req.Era}); ok && asked.Era == l.era {
-		f.Entries, f.Removed = entries, removed
+		f.Entries, f.Removed, f.GapEnd = entries, removed, l.lastGapEnd(req.After)
 		for _, id := range removed {
 			if l.gone.entries[id].expired {
 				f.Expired = append(f.Expired, id)
@@ -72,10 +75,19 @@
 	if !l.position().Before(position) || (position.Era > l.era && !f.Whole) {
 		return false
 	}
+	if position.Era == l.era && f.Revision < l.revision && f.Revision > 0 {
+		// The peer's list is older, though its newest change is not.
+		return l.commit(l.revision, true)
+	}
 	l.startEra(now, position.Era)
 	if l.unlisted && f.Whole {
 		l.doubt(pointers(f.Entries))
 	}
+	if f.Whole {
+		l.logGap(max(f.Mark, f.Revision<<localMarkBits))
+	} else {
+		l.logGap(f.GapEnd)
+	}
 	l.takeEntries(now, &f)
 	l.dropRemoved(&f)
 	l.setMark(f.Mark)
@@ -108,8 +120,14 @@
 	}
 }
 
-// dropRemoved drops the entries that a peer has removed. It has retained them itself before.
+// dropRemoved drops the entries that a peer has removed. It has retained them itself before. One
+// that is not known here may be in use at another peer, which learns of its removal from here.
 func (l *entryList) dropRemoved(f *fetchReply) {
+	for _, id := range f.Removed {
+		if l.entries[id] == nil {
+			l.logChange(id)
+		}
+	}
 	kept := map[string]bool{}
 	for i := range f.Entries {
 		kept[f.Entries[i].ID] = true
--- a/roster/storechange_test.go
+++ b/roster/storechange_test.go
@@ -1,10 +1,13 @@
 package roster
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"knapweedwell/route"
 )
@@ -70,3 +73,132 @@
 	catchUp(l, peer)
 	assert.Assert(t, !peer.snapshot().Accepts("a"))
 }
+
+// storeHistory is the history of the entries in a store.
+type storeHistory struct {
+	revision int64
+	changes  []storeChange
+	at       []int64 // revisions of changes
+}
+
+// add adds a change.
+func (h *storeHistory) add(c storeChange) {
+	h.revision++
+	if !c.gone {
+		c.revision = h.revision
+	}
+	h.changes, h.at = append(h.changes, c), append(h.at, h.revision)
+}
+
+// between returns the changes after a revision up to another one.
+func (h *storeHistory) between(after, upTo int64) []storeChange {
+	var changes []storeChange
+	for i, at := range h.at {
+		if after < at && at <= upTo {
+			changes = append(changes, h.changes[i])
+		}
+	}
+	return changes
+}
+
+// entries returns the entries that the store lists at a revision.
+func (h *storeHistory) entries(revision int64) map[string]*route.Upstream {
+	entries := map[string]*route.Upstream{}
+	for _, c := range h.between(0, revision) {
+		delete(entries, c.id)
+		if !c.gone {
+			entries[c.id] = c.entry
+		}
+	}
+	return entries
+}
+
+// watcher is a list that follows the history.
+type watcher struct {
+	list   *entryList
+	synced int64                   // revision up to which it has read the changes itself
+	used   map[route.Upstream]bool // entries that it has had in use
+}
+
+// TestNothingComesBack guards against an upstream that is used again although the store lists it no
+// more: lists that follow the store, their peers, or both, late and in any order, take up only
+// what the store lists at the revision that they know.
+func TestNothingComesBack(t *testing.T) {
+	const rounds = 50
+	for range rounds {
+		rapid.Check(t, checkNothingComesBack)
+	}
+}
+
+// checkNothingComesBack plays one history.
+func checkNothingComesBack(t *rapid.T) {
+	now := time.Unix(1000, 0)
+	history := &storeHistory{revision: 1}
+	watchers := make([]*watcher, 3)
+	for i := range watchers {
+		watchers[i] = &watcher{list: newEntryList(), synced: 1, used: map[route.Upstream]bool{}}
+		watchers[i].list.replaceAll(now, 1, nil)
+	}
+	starts := map[string]int64{}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		w := watchers[rapid.IntRange(0, len(watchers)-1).Draw(t, "watcher")]
+		before := w.list.snapshot()
+		id := string(rune('a' + rapid.IntRange(0, 3).Draw(t, "id")))
+		switch rapid.IntRange(0, 7).Draw(t, "step") {
+		case 0, 1:
+			if history.entries(history.revision)[id] == nil {
+				starts[id]++
+			}
+			e := born(id, starts[id])
+			history.add(storeChange{id: id, entry: e})
+		case 2:
+			if history.entries(history.revision)[id] != nil {
+				history.add(storeChange{id: id, gone: true})
+			}
+		case 3:
+			upTo := rapid.Int64Range(w.synced, history.revision).Draw(t, "up to")
+			if !w.list.outdated(upTo) {
+				w.list.applyChanges(now, upTo, history.between(w.synced, upTo))
+			}
+			w.synced = upTo
+		case 4:
+			w.list.storeReturned(now)
+		case 5:
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			for _, w := range watchers {
+				w.list.dropRetained(now)
+			}
+		case 6:
+			source := watchers[rapid.IntRange(0, len(watchers)-1).Draw(t, "source")].list
+			w.list.applyFetched(now, source.reply(now, fetchRequest{Era: w.list.era, After: w.list.mark}))
+		case 7:
+			w.synced = rapid.Int64Range(w.synced, history.revision).Draw(t, "listed at")
+			w.list.replaceAll(now, w.synced, slices.Collect(maps.Values(history.entries(w.synced))))
+		}
+		listed := history.entries(w.list.revision)
+		for _, e := range w.list.snapshot().Entries {
+			known := listed[e.ID] != nil && listed[e.ID].Born == e.Born
+			if !before.Accepts(e.ID) && !known && (w.used[*e] || !w.list.retains(e.ID)) {
+				t.Fatalf("%v is used again, and the store lists %v at %d", *e, listed[e.ID], w.list.revision)
+			}
+			w.used[*e] = true
+		}
+	}
+	w := watchers[0]
+	w.list.applyChanges(now, history.revision, history.between(w.synced, history.revision))
+	now = now.Add(RetainTime)
+	for _, other := range watchers {
+		other.list.dropRetained(now)
+		other.list.applyFetched(now, w.list.reply(now, fetchRequest{Era: other.list.era, After: other.list.mark}))
+		assert.DeepEqual(t, ids(other.list.entries), ids(history.entries(history.revision)))
+	}
+}
+
+// ids returns the IDs of entries with their starts.
+func ids(entries map[string]*route.Upstream) map[string]int64 {
+	starts := map[string]int64{}
+	for id, e := range entries {
+		starts[id] = e.Born
+	}
+	return starts
+}
