Take only final statuses of HTTP for answers on routes

What callers could see: an upstream in trouble answers with status 600 or 999, or with 101 though nobody asked for an upgrade, and the caller gets that as its answer, 101 with an empty body. Worse, a status below 100 counted as an interim answer, so that the bytes after its head, the body of what is no answer, were read as the next answer and relayed if they look like one.

Cause: ReadResponse skipped everything below 200 but 101 and took the rest as final. The parser of the standard library takes any three characters that are a number, "+20" too.

Why this works: an answer is one with a status from 200 to 599, an interim one has 100 to 199 without 101. Anything else is an error where the head is read, which ends the send as a break: no promise, the connection is not kept, and a request that may be repeated goes to another upstream.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -349,7 +349,7 @@
 
 // ReadResponse reads the head of the next answer and skips interim answers
 // (1xx). The body of the returned answer is read from the connection. A head of more
-// than maxHeadBytes is an error.
+// than maxHeadBytes is an error, and so is one whose status is none of HTTP.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.source.left = maxHeadBytes
 	defer func() { c.source.left = unlimited }()
@@ -358,9 +358,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+		if isInterim(resp.StatusCode) {
+			continue
+		}
+		if err := CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
 		}
+		return resp, nil
 	}
 }
 
