Take only final statuses of HTTP for answers on the chat interface

What callers could see: what an upstream in trouble sends with status 000, 099, 101, 600 or 999 is the answer to a chat completion or to a call of a plain service; with a status below 100 the instance fails while it writes it.

Cause: upstream.Client relies on the transport of net/http, which returns any status as it is read.

Why this works: Client.Do checks the status as routes do, in one function, and reports an error that does not say that nothing was sent: a request that may run once is not sent again.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"knapweedwell/httpwire"
 )
 
 // Headers that requests to upstreams carry.
@@ -107,12 +109,25 @@
 // A request that is not idempotent uses a connection of its own: net/http retries
 // requests by itself on a reused connection that turns out to be closed, but
 // never on a new one. The error matches ErrNotSent if the request cannot be built or
-// the upstream cannot be dialled.
+// the upstream cannot be dialled. A response whose status is none of a final answer is an error.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	req, err := c.request(ctx, call)
 	if err != nil {
 		return nil, &notSentError{cause: err}
 	}
+	resp, err := c.send(ctx, req, call)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpwire.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return nil, errors.Wrapf(err, "call upstream %s", call.Address)
+	}
+	return resp, nil
+}
+
+// send sends a request over a connection that suits it.
+func (c *Client) send(ctx context.Context, req *http.Request, call Call) (*http.Response, error) {
 	if call.Idempotent {
 		resp, err := c.pooled.Do(req)
 		return resp, errors.Wrapf(err, "call upstream %s", call.Address)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -225,3 +225,21 @@
 		assert.Equal(t, err, io.ErrUnexpectedEOF, "%q", text)
 	}
 }
+
+// TestNoFinalStatus guards against what an upstream in trouble sent with a status that is none of a
+// final answer, and that is passed on as its answer. The request may have run.
+func TestNoFinalStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for _, idempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", status, idempotent), func(t *testing.T) {
+				s := newScriptedServer(t, func(conn net.Conn, _, _ int) bool {
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 4\r\n\r\nfail")
+					return false
+				})
+				call := Call{ID: "a", Address: s.listener.Addr().String(), Method: "POST", Path: "/book", Idempotent: idempotent}
+				_, err := newClient(t).Do(context.Background(), call)
+				assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "error %v", err)
+			})
+		}
+	}
+}
