Take an answer without a length as whole only if the upstream got the request

What callers could see (MIXED): an upstream answers a long upload at once with a 200 that has no length, sends a part of its body, ends the answer and resets the connection while the upload is still being sent; the caller gets the part as a complete answer.

Cause: a request counted as sent once this machine had taken its bytes. Up to megabytes of them may not have left it. The end of the answer (FIN) arrives before the reset, or is all that is left to read after it, and was taken for the regular end.

Why this works: an upstream that has read the whole request has acknowledged it at the latest with the end of its answer. Where bytes of the request are not acknowledged at that end (TIOCOUTQ), or the connection has an error (SO_ERROR), the body ends with an error in place of io.EOF, on which whole, large and streamed answers depend alike. Answers with a length or in chunks are as before.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -364,6 +364,7 @@
 		if err := CheckStatus(resp.StatusCode); err != nil {
 			return nil, err
 		}
+		c.checkBodyEnd(resp)
 		return resp, nil
 	}
 }
