Hold a stream for incomplete until the event that was begun is relayed

Cause: an answer without a length that ends with its connection counted as the end of the stream unless it ended inside an event, or before the first event of all.

--- a/forward/event.go
+++ b/forward/event.go
@@ -44,9 +44,15 @@
 // insideEvent reports whether the text after the last complete event of a stream
 // breaks off inside an event or a line. Comments and blank lines belong to no event.
 func insideEvent(rest []byte) bool {
+	return beginsEvent(rest) || (len(rest) > 0 && !bytes.ContainsAny(rest[len(rest)-1:], lineEnds))
+}
+
+// beginsEvent reports whether text after the last complete event of a stream is the beginning of
+// another one, not of a comment.
+func beginsEvent(rest []byte) bool {
 	for len(rest) > 0 {
-		line, after, ended := cutLine(rest)
-		if !ended || (len(line) > 0 && line[0] != ':') {
+		line, after, _ := cutLine(rest)
+		if len(line) > 0 && line[0] != ':' {
 			return true
 		}
 		rest = after
