Key the check of revisions in TestRandom by the instance itself

The check knew an instance by its host and the text of its address in memory. The key is the pointer now: it keeps the instance, so that its address is not given out again.

The check is as strict as before: each instance that is seen running, from its first to its last revision.

--- a/simulation/random_test.go
+++ b/simulation/random_test.go
@@ -15,6 +15,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/google/uuid"
 
+	"knapweedwell/instance"
 	"knapweedwell/revision"
 	"knapweedwell/standin/engine"
 	"knapweedwell/standin/platform"
@@ -396,9 +397,10 @@
 	o.history = append(o.history, porcupine.Operation{ClientId: client, Input: changeInput{base}, Call: call, Output: out, Return: returned})
 }
 
-// checkRevisions checks that the revision of a running instance never falls.
+// checkRevisions checks that the revision of a running instance never falls. An instance that was
+// seen is kept, so that no later start of the host gets its address in memory.
 func (o *operators) checkRevisions() {
-	previous := map[string]int64{}
+	previous := map[*instance.Instance]int64{}
 	for time.Now().Before(o.deadline) {
 		time.Sleep(100 * time.Millisecond)
 		for _, node := range o.sim.nodes {
@@ -406,12 +408,11 @@
 			if i == nil {
 				continue
 			}
-			key := fmt.Sprintf("%s %p", node.name, i)
 			current := i.Revisions.Revision()
-			if current < previous[key] {
-				o.sim.errorf("revision of %s fell from %d to %d", node.name, previous[key], current)
+			if current < previous[i] {
+				o.sim.errorf("revision of %s fell from %d to %d", node.name, previous[i], current)
 			}
-			previous[key] = current
+			previous[i] = current
 		}
 	}
 }
