End an outage for an instance once others reach the store

Cause: an instance that went idle before the store had answered it kept its outage; its next answer, whenever it came, counted as the store's return and began a retention period of 2 s. Idle meant both "others reach the store" and "wait before the next try".

Why this works: waiting is a role of its own, Paused, in which an outage goes on. An idle instance leaves its outage to those that follow the store. Whether its last call failed is still reported. Two tests of roles expect Paused where they expected Idle: they are more exact than before.

--- a/exchange/role.go
+++ b/exchange/role.go
@@ -94,7 +94,7 @@
 	case unreachable && now.Sub(s.LastFailure()) >= time.Duration(max(rounds, 1))*retryTime:
 		return follow.Alert
 	}
-	return follow.Idle
+	return follow.Paused
 }
 
 // competes reports whether an instance is one of those that may follow the store.
--- a/exchange/role_test.go
+++ b/exchange/role_test.go
@@ -77,11 +77,11 @@
 		aggregated bool
 		role       follow.Role
 	}{
-		{"failed just now", 3, 0, false, follow.Idle},
+		{"failed just now", 3, 0, false, follow.Paused},
 		{"failed a while ago", 3, retryTime, false, follow.Alert},
-		{"late in the order", 30, retryTime, false, follow.Idle},
+		{"late in the order", 30, retryTime, false, follow.Paused},
 		{"late in the order, failed long ago", 30, 2 * retryTime, false, follow.Alert},
-		{"gets tables, failed just now", 3, 0, true, follow.Idle},
+		{"gets tables, failed just now", 3, 0, true, follow.Paused},
 		{"gets tables, failed a while ago", 3, retryTime, true, follow.Alert},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -117,10 +117,10 @@
 	s := &Service{LastFailure: func() time.Time { return time.Time{} }}
 	now := time.Now()
 	before := competitors{all: maxTriedInstances + 1}
-	assert.Equal(t, s.roleAfter(now, before, false), follow.Idle)
+	assert.Equal(t, s.roleAfter(now, before, false), follow.Paused)
 	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Alert)
 	before.reachable = alertInstances
 	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Idle)
 	before.reachable = 0
-	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Idle, "the time must be counted anew")
+	assert.Equal(t, s.roleAfter(now.Add(retryTime), before, false), follow.Paused, "the time must be counted anew")
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -38,14 +38,18 @@
 
 // The roles, from the least to the most calls to the store.
 const (
-	Idle  Role = iota // makes no calls once the objects are listed: the instance is updated by its peers
-	Alert             // watches with short waits, so that a lost watch is noticed within one of them
+	Idle   Role = iota // makes no calls once the objects are listed: others follow the store and update the instance
+	Paused             // makes no calls for some time, though too few others reach the store
+	Alert              // watches with short waits, so that a lost watch is noticed within one of them
 )
 
 // String returns the role's name.
 func (r Role) String() string {
-	if r == Alert {
+	switch r {
+	case Alert:
 		return "alert"
+	case Paused:
+		return "paused"
 	}
 	return "idle"
 }
@@ -69,7 +73,8 @@
 	lastAnswer  time.Time     // when the store last answered
 	synced      int64         // revision up to which all changes are known
 	era         int64         // of the revision
-	outageStart time.Time     // when the store stopped answering; zero while it answers
+	unreachable bool          // whether the last call failed
+	outageStart time.Time     // when the store stopped answering; zero while it answers this instance or others
 	lastFailure time.Time     // when a call last failed
 	syncedAt    time.Time     // when synced was the newest revision; zero before the first list
 	silence     time.Duration // result of Silence
@@ -115,9 +120,9 @@
 	return f.silence
 }
 
-// Idle reports whether this instance is updated by its peers only.
+// Idle reports whether this instance makes no calls: it is updated by its peers only.
 func (f *Follower) Idle() bool {
-	return f.Role != nil && f.Role() == Idle
+	return f.Role != nil && f.Role() != Alert
 }
 
 // StoreUnreachable reports whether the most recent call to the store failed. An
@@ -125,7 +130,7 @@
 func (f *Follower) StoreUnreachable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.outageStart.IsZero()
+	return f.unreachable
 }
 
 // LastFailure returns when a call to the store last failed, zero if none did.
@@ -177,6 +182,7 @@
 	era, after := f.Synced()
 	if after != 0 && f.Idle() {
 		f.behind = true
+		f.leaveOutage()
 		sleep(ctx, rolePollPeriod)
 		return nil
 	}
@@ -248,7 +254,7 @@
 	}
 	silence := f.silence
 	outageStart, eraBefore := f.outageStart, f.era
-	f.outageStart = time.Time{}
+	f.outageStart, f.unreachable = time.Time{}, false
 	f.lastAnswer = now
 	f.synced = revision
 	f.era = max(era, eraBefore)
@@ -265,11 +271,26 @@
 	}
 }
 
+// leaveOutage ends the outage of an instance that has become Idle, because others reach the store:
+// its next answer, whenever that is, is no return of the store.
+func (f *Follower) leaveOutage() {
+	if f.Role() != Idle {
+		return
+	}
+	f.mu.Lock()
+	start := f.outageStart
+	f.outageStart = time.Time{}
+	f.mu.Unlock()
+	if !start.IsZero() {
+		f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "AwayMillis": time.Since(start).Milliseconds()}).Info("the store answers others")
+	}
+}
+
 // recordFailure records a failed call. The first one starts an outage.
 func (f *Follower) recordFailure(err error) {
 	f.mu.Lock()
 	now := time.Now()
-	f.lastFailure = now
+	f.lastFailure, f.unreachable = now, true
 	first := f.outageStart.IsZero()
 	if first {
 		f.outageStart = now
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -169,3 +169,32 @@
 		assert.Equal(t, f.Silence(), 5*time.Second, "the answer that the history is gone tells of no change")
 	})
 }
+
+// TestOutageOfOthers guards against an answer that counts as the return of the store long after an
+// outage, because the instance went idle before the store answered it: the outage is over once others
+// reach the store, and goes on while it only pauses between two calls.
+func TestOutageOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		between Role // before the store answers this instance
+		returns int
+	}{{"calls on", Alert, 1}, {"pauses", Paused, 1}, {"others follow the store", Idle, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			returns := 0
+			f := &Follower{Kind: "config", Log: log, Role: func() Role { return c.between }, OnReturn: func() { returns++ }}
+			f.recordAnswer(1, 5, time.Now())
+			f.recordFailure(io.ErrUnexpectedEOF)
+			f.recordFailure(io.ErrUnexpectedEOF)
+			f.leaveOutage()
+			assert.Assert(t, f.StoreUnreachable(), "what the last call showed is not known any more")
+			f.recordAnswer(1, 9, time.Now())
+			assert.Equal(t, returns, c.returns)
+			assert.Assert(t, !f.StoreUnreachable())
+			f.recordFailure(io.ErrUnexpectedEOF)
+			f.recordAnswer(1, 12, time.Now())
+			assert.Equal(t, returns, c.returns+1, "an outage that the calls saw")
+		})
+	}
+}
