Ask the upstream of a stream whether it runs also before the first event

Cause: only streams that had begun were asked for. Another was taken from its upstream once its first event was overdue and nothing had come from there since it was sent.

Why this works: the question is asked of each stream's upstream. After an answer its silence counts from there, so that it is asked again and given up in bounded time if it says nothing. Calls are sent elsewhere without a question, as before.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -19,6 +19,7 @@
 	tokens    int
 	sentAt    time.Time
 	answering bool // the first token or the answer was received
+	heard     bool // the upstream has said that it runs
 	gaps      gapStats
 
 	shortestGap bool // as in the request
@@ -42,11 +43,11 @@
 
 // Silent reports whether the upstream is probably down or unreachable. Before the
 // first token, the token is overdue and nothing was received from the upstream
-// since the request was sent; after it, nothing was received for longer than gap.
+// since the request was sent; after it, or after Heard, nothing was received for longer than gap.
 func (a *Attempt) Silent(now time.Time, gap time.Duration) bool {
 	a.picker.mu.Lock()
 	defer a.picker.mu.Unlock()
-	if a.answering {
+	if a.answering || a.heard {
 		return now.Sub(a.state.receivedAt) > gap
 	}
 	return a.overdue(now) && a.state.receivedAt.Before(a.sentAt)
@@ -63,7 +64,7 @@
 func (a *Attempt) Heard(now time.Time) {
 	a.picker.mu.Lock()
 	defer a.picker.mu.Unlock()
-	a.state.receivedAt = now
+	a.state.receivedAt, a.heard = now, true
 }
 
 // Event records that events of the stream were received.
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -55,13 +55,14 @@
 	}
 }
 
-// interruptIfDown interrupts the connection if the upstream is silent and, where it has begun to
-// answer, does not say that it runs: a stream may pause for long. It reports whether it did.
+// interruptIfDown interrupts the connection if the upstream is silent and does not say that it runs: a
+// stream may begin late or pause for long, and would run twice. A call that may be repeated is
+// interrupted without a question until its answer has begun. It reports whether it interrupted.
 func (t *transfer) interruptIfDown(ctx context.Context, maxSilence time.Duration) bool {
 	if t.rs.stream.unnumbered.Load() || !t.attempt.Silent(time.Now().Add(askTimeout), maxSilence) || !t.rs.canSendElsewhere(time.Now()) {
 		return false
 	}
-	if t.attempt.Answering() && t.rs.s.isRunning(ctx, t.rs.choice.Upstream) {
+	if (t.rs.route.Stream || t.attempt.Answering()) && t.rs.s.isRunning(ctx, t.rs.choice.Upstream) {
 		t.attempt.Heard(time.Now())
 		t.rs.s.Log.WithFields(logrus.Fields{"Upstream": t.rs.choice.Upstream.ID, "RequestID": t.rs.headers.ID}).Info("silent upstream says that it runs")
 		return false
