Let twice as many instances follow the store where the first do not reach it

Cause: an instance that has made no calls counted as one that reaches the store. When the two that follow it were cut off, the next two began to; whether the store answers them they know only after 2 s, and those behind them relied on them until then.

Only failures before the first instance that reports none count, so that failures of an outage that is over make nobody follow the store.

Not done: what is reported does not say whether an instance was answered. Six of the first instances cut off at once are noticed late as before.

--- a/exchange/role.go
+++ b/exchange/role.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,7 +33,8 @@
 
 // Role returns how closely this instance follows the store. The instances that
 // the store answers are ordered by the hash of their names: the first few
-// follow the store and the others are updated by them. An instance that the
+// follow the store and the others are updated by them. More of them step in at once
+// where the store does not answer the first of all. An instance that the
 // store does not answer is ordered among all instances, and keeps trying only
 // if it is among the first. The others try again from time to time while too few
 // reach the store, those late in the order less often.
@@ -49,13 +51,7 @@
 	if s.fleet.plan.Aggregated() && !s.fleet.acting() {
 		return s.roleWithTables(now, unreachable)
 	}
-	var before competitors
-	for name, last := range s.reports {
-		if s.competes(now, name, last) && xxhash.Sum64String(name) <= xxhash.Sum64String(s.Self) {
-			before.add(last.storeUnreachable)
-		}
-	}
-	return s.roleAfter(now, before, unreachable)
+	return s.roleAfter(now, s.competitorsBefore(now), unreachable)
 }
 
 // competitors counts the instances before this one in the order of those that may follow
@@ -63,14 +59,46 @@
 type competitors struct {
 	all       int
 	reachable int // those that do not report that the store does not answer them
+	leading   int // those that do, before the first that does not
+}
+
+// needed returns how many instances are to reach the store. Where those that come first do not, twice
+// as many of the next ones step in at once: these have made no calls, so that the store may not
+// answer them either, which takes them long to notice.
+func (c competitors) needed() int {
+	if c.leading < alertInstances {
+		return alertInstances
+	}
+	return min(2*c.leading, maxTriedInstances)
 }
 
-// add counts an instance.
-func (c *competitors) add(unreachable bool) {
+// add counts an instance at a place in the order. The first one that does not report that the store
+// does not answer it is at the place first.
+func (c *competitors) add(place, first uint64, unreachable bool) {
 	c.all++
-	if !unreachable {
+	switch {
+	case !unreachable:
 		c.reachable++
+	case place < first:
+		c.leading++
+	}
+}
+
+// competitorsBefore counts the instances before this one, by their reports. The caller holds s.mu.
+func (s *Service) competitorsBefore(now time.Time) competitors {
+	var before competitors
+	self, first := xxhash.Sum64String(s.Self), uint64(math.MaxUint64)
+	for name, last := range s.reports {
+		if place := xxhash.Sum64String(name); place <= self && !last.storeUnreachable && s.competes(now, name, last) {
+			first = min(first, place)
+		}
+	}
+	for name, last := range s.reports {
+		if place := xxhash.Sum64String(name); place <= self && s.competes(now, name, last) {
+			before.add(place, first, last.storeUnreachable)
+		}
 	}
+	return before
 }
 
 // roleAfter returns the role of an instance after the given competitors. The caller holds
@@ -80,7 +108,7 @@
 		s.unfollowedAt = time.Time{}
 		return follow.Alert
 	}
-	if before.reachable >= alertInstances {
+	if before.reachable >= before.needed() {
 		s.unfollowedAt = time.Time{}
 		return follow.Idle
 	}
@@ -124,13 +152,25 @@
 		s.unfollowedAt = time.Time{}
 		return follow.Idle
 	}
+	return s.roleAfter(now, s.listedBefore(), unreachable)
+}
+
+// listedBefore counts the instances before this one, by the list of its zone. The caller holds s.mu.
+func (s *Service) listedBefore() competitors {
 	var before competitors
-	for hash, i := range s.fleet.lists[s.Zone].instances {
-		if hash < aggregate.NameHash(s.Self) {
-			before.add(i.StoreUnreachable)
+	self, first := aggregate.NameHash(s.Self), uint32(math.MaxUint32)
+	instances := s.fleet.lists[s.Zone].instances
+	for place, i := range instances {
+		if place < self && !i.StoreUnreachable {
+			first = min(first, place)
+		}
+	}
+	for place, i := range instances {
+		if place < self {
+			before.add(uint64(place), uint64(first), i.StoreUnreachable)
 		}
 	}
-	return s.roleAfter(now, before, unreachable)
+	return before
 }
 
 // directTimeout returns how long nothing may be received from an instance that sends
