Do not wait for the body of a failure that is not relayed

What callers could see: an upstream fails a booking with 503 and a short body that comes a byte now and then; the caller is kept waiting until the route's timeout, for a 502 that could be given at once.

Cause: the body was read so that the connection could be used again.

Evidence: TestSlowFailureHoldsNobody failed before (5 s). The connection is closed now.

Besides: pass in roster/storechange.go returns nothing in place of true.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -32,9 +32,10 @@
 		t.keep = false
 		return broken{reason: "the answer is encoded"}
 	case impliesNotRun(status) && !t.rs.route.Repeatable():
-		// Relayed to the caller, the status would state that the request did not run.
+		// Relayed to the caller, the status would state that the request did not run. The body is
+		// not waited for.
 		t.attempt.First(time.Now())
-		t.skipBody()
+		t.keep = false
 		return broken{reason: "the upstream answered " + t.resp.Status + " without saying that it did not run the request"}
 	case success && t.rs.route.Stream:
 		return t.relayStream()
--- a/roster/storechange.go
+++ b/roster/storechange.go
@@ -58,7 +58,10 @@
 	news := c.revision > l.revision
 	switch {
 	case c.gone && l.entries[c.id] == nil:
-		return news && l.pass(c)
+		if news {
+			l.pass(c)
+		}
+		return news
 	case c.gone:
 		changed := news && c.entry != nil && l.put(c.entry)
 		return l.remove(now, c.id) || changed
@@ -68,12 +71,10 @@
 	return l.endDoubt(c.id)
 }
 
-// pass records an entry that came and went, and that is not used: peers may use it. It reports
-// true.
-func (l *entryList) pass(c storeChange) bool {
+// pass records an entry that came and went, and that is not used: peers may use it.
+func (l *entryList) pass(c storeChange) {
 	if c.entry != nil {
 		l.gone.add(c.entry, false)
 	}
 	l.logChange(c.id)
-	return true
 }
--- a/simulation/edge_promise_test.go
+++ b/simulation/edge_promise_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 )
 
 // failureHead returns the head of a failure that does not state that the request was not run.
@@ -82,3 +83,17 @@
 		sim.t.Errorf("the request ran %d times, expected 1", runs)
 	}
 }
+
+// TestSlowFailureHoldsNobody guards against a caller that is kept waiting for the body of a failure
+// that it does not get.
+func TestSlowFailureHoldsNobody(t *testing.T) {
+	simulateRoutes(t, 1, func(sim *routeSimulation) {
+		u := &rawUpstream{head: failureHead(503) + "Content-Length: 4000\r\n\r\n", repeat: "a", pause: 300 * time.Millisecond}
+		sim.startRawUpstream("calls-raw", "calls", u.serve)
+		start := time.Now()
+		got := sim.send(request{path: "/book/1", id: "u1"})
+		if took := time.Since(start); got.status != 502 || took > time.Second {
+			t.Errorf("got %d after %s, expected 502 within a second", got.status, took)
+		}
+	})
+}
