--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -67,6 +67,17 @@
 	return strings.TrimSpace(s.Kind + " " + s.Name)
 }
 
+// Empty reports whether all values of the section are empty, as a template leaves them where a
+// deployment has none of them.
+func (s *Section) Empty() bool {
+	for _, v := range s.Keys {
+		if v.Text != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // File is a parsed INI text.
 type File struct {
 	Name     string
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -35,7 +35,8 @@
 	// Routes is set if the instance serves the routes that the platform's operator
 	// writes.
 	Routes *Routes
-	// Duties is set if the platform names duties of one instance at a time.
+	// Duties is set if the platform names duties of one instance at a time. A section without
+	// values means that it names none.
 	Duties *Duties
 }
 
@@ -137,7 +138,9 @@
 		case routesSection:
 			s.Routes = readRoutes(f.NewReader(sec))
 		case dutiesSection:
-			s.Duties = readDuties(f.NewReader(sec))
+			if !sec.Empty() {
+				s.Duties = readDuties(f.NewReader(sec))
+			}
 		case zonesSection:
 			for zone, region := range sec.Keys {
 				zones[zone] = region.Text
