--- a/roster/storechange_test.go
+++ b/roster/storechange_test.go
@@ -120,77 +120,134 @@
 	used   map[route.Upstream]bool // entries that it has had in use
 }
 
+// histories plays random steps of a store and of three lists.
+type histories struct {
+	now      time.Time
+	store    storeHistory
+	starts   map[string]int64 // of the entries, by their IDs
+	watchers []*watcher
+}
+
+func newHistories() *histories {
+	h := &histories{now: time.Unix(1000, 0), store: storeHistory{revision: 1}, starts: map[string]int64{}}
+	for range 3 {
+		w := &watcher{list: newEntryList(), synced: 1, used: map[route.Upstream]bool{}}
+		w.list.replaceAll(h.now, 1, nil)
+		h.watchers = append(h.watchers, w)
+	}
+	return h
+}
+
+// watcher draws one of the lists.
+func (h *histories) watcher(t *rapid.T, label string) *watcher {
+	return h.watchers[rapid.IntRange(0, len(h.watchers)-1).Draw(t, label)]
+}
+
+// write writes the entry with the ID to the store, as a new start if it is not there.
+func (h *histories) write(id string) {
+	if h.store.entries(h.store.revision)[id] == nil {
+		h.starts[id]++
+	}
+	h.store.add(storeChange{id: id, entry: born(id, h.starts[id])})
+}
+
+// remove removes the entry with the ID from the store.
+func (h *histories) remove(id string) {
+	if h.store.entries(h.store.revision)[id] != nil {
+		h.store.add(storeChange{id: id, gone: true})
+	}
+}
+
+// watch lets a list read the changes up to a revision.
+func (h *histories) watch(w *watcher, upTo int64) {
+	if !w.list.outdated(upTo) {
+		w.list.applyChanges(h.now, upTo, h.store.between(w.synced, upTo))
+	}
+	w.synced = upTo
+}
+
+// relist lets a list read all entries as of a revision.
+func (h *histories) relist(w *watcher, revision int64) {
+	w.synced = revision
+	w.list.replaceAll(h.now, revision, slices.Collect(maps.Values(h.store.entries(revision))))
+}
+
+// fetch lets a list ask another one.
+func (h *histories) fetch(w, source *watcher) {
+	w.list.applyFetched(h.now, source.list.reply(h.now, fetchRequest{Era: w.list.era, After: w.list.mark}))
+}
+
+// pass lets time pass.
+func (h *histories) pass(d time.Duration) {
+	h.now = h.now.Add(d)
+	for _, w := range h.watchers {
+		w.list.dropRetained(h.now)
+	}
+}
+
+// step takes a random step with a list.
+func (h *histories) step(t *rapid.T, w *watcher) {
+	id := string(rune('a' + rapid.IntRange(0, 3).Draw(t, "id")))
+	switch rapid.IntRange(0, 7).Draw(t, "step") {
+	case 0, 1:
+		h.write(id)
+	case 2:
+		h.remove(id)
+	case 3:
+		h.watch(w, rapid.Int64Range(w.synced, h.store.revision).Draw(t, "up to"))
+	case 4:
+		w.list.storeReturned(h.now)
+	case 5:
+		h.pass(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+	case 6:
+		h.fetch(w, h.watcher(t, "source"))
+	case 7:
+		h.relist(w, rapid.Int64Range(w.synced, h.store.revision).Draw(t, "listed at"))
+	}
+}
+
+// check checks that what a list has begun to use since it was as before is listed by the store at the
+// revision that the list knows, or retained and new to it.
+func (h *histories) check(t *rapid.T, w *watcher, before *Roster) {
+	listed := h.store.entries(w.list.revision)
+	for _, e := range w.list.snapshot().Entries {
+		known := listed[e.ID] != nil && listed[e.ID].Born == e.Born
+		if !before.Accepts(e.ID) && !known && (w.used[*e] || !w.list.retains(e.ID)) {
+			t.Fatalf("%v is used again, and the store lists %v at %d", *e, listed[e.ID], w.list.revision)
+		}
+		w.used[*e] = true
+	}
+}
+
+// checkEnd checks that all lists are equal to the store once the first one has read all changes and
+// the others have asked it.
+func (h *histories) checkEnd(t *rapid.T) {
+	first := h.watchers[0]
+	first.list.applyChanges(h.now, h.store.revision, h.store.between(first.synced, h.store.revision))
+	h.now = h.now.Add(RetainTime)
+	for _, w := range h.watchers {
+		w.list.dropRetained(h.now)
+		h.fetch(w, first)
+		assert.DeepEqual(t, ids(w.list.entries), ids(h.store.entries(h.store.revision)))
+	}
+}
+
 // TestNothingComesBack guards against an upstream that is used again although the store lists it no
 // more: lists that follow the store, their peers, or both, late and in any order, take up only
 // what the store lists at the revision that they know.
 func TestNothingComesBack(t *testing.T) {
 	const rounds = 50
 	for range rounds {
-		rapid.Check(t, checkNothingComesBack)
-	}
-}
-
-// checkNothingComesBack plays one history.
-func checkNothingComesBack(t *rapid.T) {
-	now := time.Unix(1000, 0)
-	history := &storeHistory{revision: 1}
-	watchers := make([]*watcher, 3)
-	for i := range watchers {
-		watchers[i] = &watcher{list: newEntryList(), synced: 1, used: map[route.Upstream]bool{}}
-		watchers[i].list.replaceAll(now, 1, nil)
-	}
-	starts := map[string]int64{}
-	for range rapid.IntRange(1, 60).Draw(t, "steps") {
-		w := watchers[rapid.IntRange(0, len(watchers)-1).Draw(t, "watcher")]
-		before := w.list.snapshot()
-		id := string(rune('a' + rapid.IntRange(0, 3).Draw(t, "id")))
-		switch rapid.IntRange(0, 7).Draw(t, "step") {
-		case 0, 1:
-			if history.entries(history.revision)[id] == nil {
-				starts[id]++
-			}
-			e := born(id, starts[id])
-			history.add(storeChange{id: id, entry: e})
-		case 2:
-			if history.entries(history.revision)[id] != nil {
-				history.add(storeChange{id: id, gone: true})
-			}
-		case 3:
-			upTo := rapid.Int64Range(w.synced, history.revision).Draw(t, "up to")
-			if !w.list.outdated(upTo) {
-				w.list.applyChanges(now, upTo, history.between(w.synced, upTo))
-			}
-			w.synced = upTo
-		case 4:
-			w.list.storeReturned(now)
-		case 5:
-			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-			for _, w := range watchers {
-				w.list.dropRetained(now)
+		rapid.Check(t, func(t *rapid.T) {
+			h := newHistories()
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				w := h.watcher(t, "watcher")
+				before := w.list.snapshot()
+				h.step(t, w)
+				h.check(t, w, before)
 			}
-		case 6:
-			source := watchers[rapid.IntRange(0, len(watchers)-1).Draw(t, "source")].list
-			w.list.applyFetched(now, source.reply(now, fetchRequest{Era: w.list.era, After: w.list.mark}))
-		case 7:
-			w.synced = rapid.Int64Range(w.synced, history.revision).Draw(t, "listed at")
-			w.list.replaceAll(now, w.synced, slices.Collect(maps.Values(history.entries(w.synced))))
-		}
-		listed := history.entries(w.list.revision)
-		for _, e := range w.list.snapshot().Entries {
-			known := listed[e.ID] != nil && listed[e.ID].Born == e.Born
-			if !before.Accepts(e.ID) && !known && (w.used[*e] || !w.list.retains(e.ID)) {
-				t.Fatalf("%v is used again, and the store lists %v at %d", *e, listed[e.ID], w.list.revision)
-			}
-			w.used[*e] = true
-		}
-	}
-	w := watchers[0]
-	w.list.applyChanges(now, history.revision, history.between(w.synced, history.revision))
-	now = now.Add(RetainTime)
-	for _, other := range watchers {
-		other.list.dropRetained(now)
-		other.list.applyFetched(now, w.list.reply(now, fetchRequest{Era: other.list.era, After: other.list.mark}))
-		assert.DeepEqual(t, ids(other.list.entries), ids(history.entries(history.revision)))
+			h.checkEnd(t)
+		})
 	}
 }
 
