--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -17,6 +17,7 @@
 
 	deadlyInstances = 3
 	deadlyLength    = 60 * time.Second
+	soundAlone      = 5 * time.Second       // before the first request with the deadly part
 	deadlyPeriod    = time.Second           // between two requests with the deadly part
 	soundPeriod     = 50 * time.Millisecond // between two sound requests
 	deadlyWork      = 20 * time.Millisecond
@@ -24,6 +25,9 @@
 	contactTime     = 4 * time.Second // contact_ms of the sites
 	judgedCrash     = 5               // crash from which the rule counts
 	mostLate        = 3               // requests with the deadly part that may reach runners later
+	recoveryTime    = 2 * contactTime // from the judged crash on, sound requests are to be served again
+	leastSound      = 20              // sound requests that are judged at least
+	leastShare      = 0.5             // of the share that begins outside the trouble
 	requestTime     = 8 * time.Second
 )
 
@@ -36,6 +40,13 @@
 	mu      sync.Mutex
 	crashes []time.Time
 	late    int
+	begun   map[string]bool // sound requests that a runner has begun
+}
+
+// prompt is one request that was sent.
+type prompt struct {
+	id string
+	at time.Time
 }
 
 // playLong uses parts with IDs of 128 bits.
@@ -53,9 +64,11 @@
 	return w.playDeadly(&deadly{runners: 1, part: shortPart, shared: soundShort}, trouble)
 }
 
-// playDeadly is broken if more than mostLate requests with the deadly part reach runners later
+// playDeadly is broken if sound requests begin less than half as often as before once the trouble
+// has lasted for a while, or if more than mostLate requests with the deadly part reach runners later
 // than contactTime after the fifth crash.
 func (w *world) playDeadly(d *deadly, trouble bool) (bool, error) {
+	d.begun = map[string]bool{}
 	for n := range d.runners {
 		u := &upstream{id: fmt.Sprintf("i-%08x", 0xc0+n), service: modelService, slots: 12, stream: true, work: deadlyWork}
 		u.onRun = func(r *http.Request) bool { return d.survives(w, u, r) }
@@ -70,20 +83,54 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadlyLength)
 	defer cancel()
-	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		w.sendPrompts(ctx, 1, soundPeriod, d.shared+":800")
-	}()
+	sound := make(chan []prompt, 1)
+	go func() { sound <- w.sendPrompts(ctx, 1, soundPeriod, d.shared+":800") }()
+	time.Sleep(soundAlone)
+	began := time.Now()
 	if trouble {
 		w.sendPrompts(ctx, 2, deadlyPeriod, d.shared+":800,"+d.part+":400")
 	}
-	wg.Wait()
+	return d.check(w, began, <-sound), nil
+}
+
+// check reports whether the rules on requests with the deadly part and on sound ones held.
+func (d *deadly) check(w *world, began time.Time, sound []prompt) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.record.add("%d crashes; %d requests with the deadly part reached runners over %s after crash %d", len(d.crashes), d.late, contactTime, judgedCrash)
-	return d.late <= mostLate, nil
+	if len(d.crashes) == 0 {
+		return true
+	}
+	// The last crash counts if there are fewer.
+	from := d.crashes[min(judgedCrash, len(d.crashes))-1].Add(recoveryTime)
+	before, after := share{}, share{}
+	for _, p := range sound {
+		switch {
+		case p.at.Before(began.Add(-time.Second)):
+			before.add(d.begun[p.id])
+		case p.at.After(from):
+			after.add(d.begun[p.id])
+		}
+	}
+	w.record.add("sound requests that began: %d of %d before the trouble, %d of %d from %s after that crash on", before.begun, before.all, after.begun, after.all, recoveryTime)
+	starved := before.all >= leastSound && after.all >= leastSound && after.value() < leastShare*before.value()
+	return d.late <= mostLate && !starved
+}
+
+// share counts requests and those of them that began.
+type share struct {
+	begun, all int
+}
+
+func (s *share) add(begun bool) {
+	s.all++
+	if begun {
+		s.begun++
+	}
+}
+
+func (s *share) value() float64 {
+	return float64(s.begun) / float64(s.all)
 }
 
 // survives reports whether the runner survives a request. If not, it is back after a while.
@@ -91,6 +138,9 @@
 	id := r.Header.Get(idHeader)
 	if !strings.Contains(r.Header.Get(partsHeader), d.part) {
 		w.record.add("request %s runs at %s", id, u.id)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.begun[id] = true
 		return true
 	}
 	d.mu.Lock()
@@ -113,18 +163,20 @@
 	return false
 }
 
-// sendPrompts sends prompts to each instance in turn until the context ends. Their last parts
-// differ.
-func (w *world) sendPrompts(ctx context.Context, worker int, period time.Duration, parts string) {
+// sendPrompts sends prompts to each instance in turn until the context ends, and returns them once
+// all have ended. Their last parts differ.
+func (w *world) sendPrompts(ctx context.Context, worker int, period time.Duration, parts string) []prompt {
 	c := newClient()
 	ends := map[int]int{}
+	var sent []prompt
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
+		id := newID(worker, n)
+		sent = append(sent, prompt{id: id, at: time.Now()})
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			id := newID(worker, n)
 			headers := map[string]string{
 				modelHeader: "m", tokensHeader: "1500,20", deadlineHeader: "8000", partsHeader: fmt.Sprintf("%s,%x:250", parts, 0x100000*worker+n),
 			}
@@ -144,4 +196,5 @@
 	}
 	wg.Wait()
 	w.record.add("requests with %s by status, 0 for none: %v", parts, ends)
+	return sent
 }
