Give the case of small prompt parts more room in its time

Cause: on a slower machine the script could end before the parts that it needs.

Change: 500 requests a second for up to 100 s, in place of 450 for 90 s.

--- a/review/rig/parts.go
+++ b/review/rig/parts.go
@@ -17,8 +17,8 @@
 	partsCount     = 60 // parts of one prompt
 	partTokens     = 4  // tokens of one part
 	partsWorkers   = 12
-	partsRate      = 450 // requests a second, all to one instance
-	partsLength    = 90 * time.Second
+	partsRate      = 500 // requests a second, all to one instance
+	partsLength    = 100 * time.Second
 	partsShared    = 5000 // parts that all prompts share without the disruption
 	kilobyte       = 1024
 )
