--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -15,6 +15,8 @@
 	soundShort = "00005a5a"
 	soundLong  = "2c26b46b68ffc68ff99b453c1d304134"
 
+	manyParts       = 66
+	firstBefore     = 0x7000000 // ID of the first part between
 	deadlyInstances = 3
 	deadlyLength    = 60 * time.Second
 	soundAlone      = 5 * time.Second       // before the first request with the deadly part
@@ -36,6 +38,7 @@
 	runners int
 	part    string // the deadly one
 	shared  string // that deadly and sound requests share
+	before  int    // parts between the two in a deadly request, which no other one has
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -59,6 +62,11 @@
 	return w.playDeadly(&deadly{runners: 3, part: shortPart, shared: soundShort}, trouble)
 }
 
+// playMany is playShort with more than 64 parts before the deadly one.
+func playMany(w *world, trouble bool) (bool, error) {
+	return w.playDeadly(&deadly{runners: 3, part: shortPart, shared: soundShort, before: manyParts}, trouble)
+}
+
 // playLone is playShort with one runner.
 func playLone(w *world, trouble bool) (bool, error) {
 	return w.playDeadly(&deadly{runners: 1, part: shortPart, shared: soundShort}, trouble)
@@ -84,15 +92,29 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deadlyLength)
 	defer cancel()
 	sound := make(chan []prompt, 1)
-	go func() { sound <- w.sendPrompts(ctx, 1, soundPeriod, d.shared+":800") }()
+	go func() { sound <- w.sendPrompts(ctx, 1, soundPeriod, d.soundParts) }()
 	time.Sleep(soundAlone)
 	began := time.Now()
 	if trouble {
-		w.sendPrompts(ctx, 2, deadlyPeriod, d.shared+":800,"+d.part+":400")
+		w.sendPrompts(ctx, 2, deadlyPeriod, d.deadlyParts)
 	}
 	return d.check(w, began, <-sound), nil
 }
 
+// soundParts returns the parts of a sound request but the last.
+func (d *deadly) soundParts(int) string {
+	return d.shared + ":800"
+}
+
+// deadlyParts returns the parts of the n-th deadly request but the last.
+func (d *deadly) deadlyParts(n int) string {
+	parts := []string{d.soundParts(n)}
+	for k := range d.before {
+		parts = append(parts, fmt.Sprintf("%x:3", firstBefore+n*d.before+k))
+	}
+	return strings.Join(append(parts, d.part+":400"), ",")
+}
+
 // check reports whether the rules on requests with the deadly part and on sound ones held.
 func (d *deadly) check(w *world, began time.Time, sound []prompt) bool {
 	d.mu.Lock()
@@ -165,7 +187,7 @@
 
 // sendPrompts sends prompts to each instance in turn until the context ends, and returns them once
 // all have ended. Their last parts differ.
-func (w *world) sendPrompts(ctx context.Context, worker int, period time.Duration, parts string) []prompt {
+func (w *world) sendPrompts(ctx context.Context, worker int, period time.Duration, parts func(n int) string) []prompt {
 	c := newClient()
 	ends := map[int]int{}
 	var sent []prompt
@@ -178,13 +200,13 @@
 		go func() {
 			defer wg.Done()
 			headers := map[string]string{
-				modelHeader: "m", tokensHeader: "1500,20", deadlineHeader: "8000", partsHeader: fmt.Sprintf("%s,%x:250", parts, 0x100000*worker+n),
+				modelHeader: "m", tokensHeader: "1500,20", deadlineHeader: "8000", partsHeader: fmt.Sprintf("%s,%x:250", parts(n), 0x100000*worker+n),
 			}
 			request, cancel := context.WithTimeout(context.Background(), requestTime)
 			defer cancel()
 			i := w.instances[n%len(w.instances)]
 			o := c.send(request, i.address(frontPort), modelPath+"ask", id, headers, []byte("prompt "+id))
-			w.record.add("request %s (%s) sent to %s: %d", id, parts, i.name, o.status)
+			w.record.add("request %s sent to %s: %d", id, i.name, o.status)
 			mu.Lock()
 			defer mu.Unlock()
 			ends[o.status]++
@@ -195,6 +217,6 @@
 		}
 	}
 	wg.Wait()
-	w.record.add("requests with %s by status, 0 for none: %v", parts, ends)
+	w.record.add("requests with %.80s by status, 0 for none: %v", parts(0), ends)
 	return sent
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,7 +25,7 @@
 type play func(w *world, trouble bool) (bool, error)
 
 func main() {
-	name := flag.String("case", "", "`name` of the case: parts, long, short, lone, era, garbled or heads")
+	name := flag.String("case", "", "`name` of the case: parts, long, short, many, lone, era, garbled or heads")
 	path := flag.String("record", "record.txt", "`file` for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "whether the disruption is played")
 	flag.Parse()
@@ -35,7 +35,7 @@
 // run plays a case and returns the exit code.
 func run(name, path string, trouble bool) int {
 	cases := map[string]play{
-		"parts": playParts, "long": playLong, "short": playShort, "lone": playLone, "era": playEra, "garbled": playGarbled, "heads": playHeads,
+		"parts": playParts, "long": playLong, "short": playShort, "many": playMany, "lone": playLone, "era": playEra, "garbled": playGarbled, "heads": playHeads,
 	}
 	p := cases[name]
 	if p == nil {
