--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -14,7 +14,8 @@
 
 const (
 	deadlyPart  = "dead"
-	restartTime = 2 * time.Second // from the crash of an upstream to its return under a new ID
+	longPart    = "9f86d081884c7d659a2feaa0c55ad015" // an ID of 128 bits
+	restartTime = 2 * time.Second                    // from the crash of an upstream to its return under a new ID
 	// An upstream that goes dark is back later, at another address, and its entry goes before.
 	darkTime      = 4500 * time.Millisecond
 	entryLifetime = 3600 * time.Millisecond // without a write of the upstream
@@ -165,14 +166,22 @@
 // TestDeadlyPartCrashesNoFurtherUpstreams guards against requests with one part in their
 // prompts that crash one upstream after the other for as long as they come.
 func TestDeadlyPartCrashesNoFurtherUpstreams(t *testing.T) {
-	for _, dark := range []bool{false, true} {
-		t.Run(fmt.Sprintf("dark %t", dark), func(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		dark   bool
+		deadly string // ID of the deadly part
+	}{
+		{"resets", false, deadlyPart},
+		{"dark", true, deadlyPart},
+		{"long ID", false, longPart},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			simulateRoutes(t, 3, func(sim *routeSimulation) {
-				fleet := startCrashing(sim, "model", 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: deadlyPart})
-				fleet.dark = dark
+				fleet := startCrashing(sim, "model", 12, runner.Faults{Delay: 80 * time.Millisecond, Pause: 20 * time.Millisecond, DeadlyPart: c.deadly})
+				fleet.dark = c.dark
 				fleet.checkDeadly(5, func(tr *traffic, n int, deadly bool) {
 					if deadly {
-						tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", deadlyPart)
+						tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", c.deadly)
 					} else {
 						tr.stream(n%3, "sound-"+itoa(n), "aa", "b"+itoa(n%7))
 					}
