Know a deadly part behind any number of others

Cause: limits on the way of a part from the head to a verdict, each of which leaves out what comes after a number of others, and always the same: 64 parts and one line read from the head, 256 traits that waited at an upstream (at a silent one, too), 1,024 suspects, 64 facts told at once, the oldest first.

Why this works: the head's size alone bounds the parts that are read; their memory is taken from that for bodies. The other limits hold for all requests of the most recent crashes together, traits that are known come before new ones, and where there is not room for all, what is left out differs from crash to crash. Verdicts are looked up among the suspects that have one, not among all, so that the checks of a request cost as before. The parts of one crash share an item in datagrams.

--- a/buffer/buffer.go
+++ b/buffer/buffer.go
@@ -26,6 +26,16 @@
 	return b.data
 }
 
+// Reserve takes bytes of the Memory, until Free, for what is kept elsewhere. It returns ErrSpent,
+// and takes none, if too few are left.
+func (b *Buffer) Reserve(n int64) error {
+	if !b.Memory.reserve(n) {
+		return ErrSpent
+	}
+	b.reserved += n
+	return nil
+}
+
 // Free drops what was read and returns its bytes to the Memory.
 func (b *Buffer) Free() {
 	b.Memory.release(b.reserved)
--- a/exchange/facts.go
+++ b/exchange/facts.go
@@ -177,9 +177,23 @@
 	}
 }
 
-// due returns the facts that are to be sent: the verdicts with their ends, and the
-// evidence, the oldest first. There are at most maxSentFacts of each.
-func (sh *sharing) due() (verdicts, evidence []*sharedFact) {
+// due returns the facts that are to be sent: the verdicts with their ends, and the evidence, at
+// most maxSentFacts of each. Those that this instance holds come first, in their order, and then
+// the others, the oldest first.
+func (sh *sharing) due(own []quarantine.Fact) (verdicts, evidence []*sharedFact) {
+	ranks := map[*sharedFact]int{}
+	for i, f := range own {
+		key, _, _ := describeFact(f)
+		if k := sh.known[key]; k != nil {
+			ranks[k] = i - len(own)
+		}
+	}
+	first := func(facts []*sharedFact) []*sharedFact {
+		slices.SortFunc(facts, func(a, b *sharedFact) int {
+			return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a.number, b.number))
+		})
+		return facts[:min(len(facts), maxSentFacts)]
+	}
 	for _, k := range sh.known {
 		switch {
 		case k.sends <= 0:
@@ -189,13 +203,7 @@
 			evidence = append(evidence, k)
 		}
 	}
-	return oldest(verdicts), oldest(evidence)
-}
-
-// oldest returns the first maxSentFacts facts in the order in which they were learned.
-func oldest(facts []*sharedFact) []*sharedFact {
-	slices.SortFunc(facts, func(a, b *sharedFact) int { return cmp.Compare(a.number, b.number) })
-	return facts[:min(len(facts), maxSentFacts)]
+	return first(verdicts), first(evidence)
 }
 
 // isVerdict reports whether a fact is a verdict or the end of one.
@@ -280,11 +288,12 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	s.recordOwn(now, plan)
-	verdicts, evidence := sh.due()
+	own := s.Facts.Facts(now)
+	verdicts, evidence := sh.due(own)
 	if len(verdicts)+len(evidence) == 0 {
 		return
 	}
-	digest := factsDigest(s.Facts.Facts(now))
+	digest := factsDigest(own)
 	targets := s.factTargets(plan)
 	if len(verdicts) > 0 {
 		data := encodeShared(now, s.Self, digest, verdicts)
--- a/exchange/factscodec.go
+++ b/exchange/factscodec.go
@@ -16,11 +16,12 @@
 
 // The kinds of facts in a datagram. Others are skipped.
 const (
-	implicatedKind = 1 // parts of the requests of one crash
+	implicatedKind = 1 // parts at one place of the requests of one crash
 	answeredKind   = 2
 	convictedKind  = 3
 	releasedKind   = 4
 	limitKind      = 5 // what an upstream's answer said of its limit
+	promptKind     = 6 // many parts of the requests of one crash, with their places
 )
 
 const (
@@ -28,6 +29,9 @@
 	maxFactAge = 24 * time.Hour
 	maxPlace   = 1 << 10 // places in a request
 	maxCrashes = 1 << 20 // crashes of one verdict
+	// From minPromptParts on, the parts of one crash share an item. Earlier builds skip it, so that
+	// short prompts do without.
+	minPromptParts = 16
 )
 
 // comparison is the step of a comparison of facts that a message is. It begins with the
@@ -80,37 +84,46 @@
 }
 
 // placedCrash identifies the facts that share an item: the parts at one place of the
-// prompts in one crash.
+// prompts in one crash, or at anyPlace.
 type placedCrash struct {
 	crash uint64
 	place int
 }
 
+const anyPlace = -1
+
 // factItem is a fact in a message, or the facts about one crash.
 type factItem struct {
 	kind byte
 	data []byte
 }
 
-// factItems encodes facts in their order. Those about one crash and place share an item.
+// factItems encodes facts in their order. Those about one crash and place share an item, and
+// those about one crash if they are many.
 func factItems(now time.Time, facts []quarantine.Fact) []factItem {
 	var items []factItem
 	crashes := map[placedCrash]int{} // positions of their items
+	parts := countParts(facts)
 	for _, f := range facts {
 		item := factItem{}
 		switch f := f.(type) {
 		case quarantine.Implicated:
 			key := placedCrash{crash: f.Crash, place: min(max(f.Place, 0), maxPlace)}
-			if i, ok := crashes[key]; ok {
-				items[i].data = binary.AppendUvarint(items[i].data, f.Trait)
-				continue
+			place := key.place
+			if parts[f.Crash] >= minPromptParts {
+				key.place = anyPlace
+			}
+			i, known := crashes[key]
+			if !known {
+				i = len(items)
+				crashes[key] = i
+				items = append(items, newCrashItem(now, f, key.place))
+			}
+			if key.place == anyPlace {
+				items[i].data = binary.AppendUvarint(items[i].data, uint64(place))
 			}
-			crashes[key] = len(items)
-			item.kind = implicatedKind
-			item.data = binary.LittleEndian.AppendUint64(nil, f.Crash)
-			item.data = appendMillis(item.data, now.Sub(f.At))
-			item.data = binary.AppendUvarint(item.data, uint64(key.place))
-			item.data = binary.AppendUvarint(item.data, f.Trait)
+			items[i].data = binary.AppendUvarint(items[i].data, f.Trait)
+			continue
 		case quarantine.Answered:
 			item.kind, item.data = answeredKind, appendPartAge(now, f.Trait, f.At)
 		case quarantine.Convicted:
@@ -128,6 +141,27 @@
 	return items
 }
 
+// countParts returns the number of the facts about each crash.
+func countParts(facts []quarantine.Fact) map[uint64]int {
+	parts := map[uint64]int{}
+	for _, f := range facts {
+		if f, ok := f.(quarantine.Implicated); ok {
+			parts[f.Crash]++
+		}
+	}
+	return parts
+}
+
+// newCrashItem returns an item about the crash of a fact, without parts, for those at a place or
+// at anyPlace.
+func newCrashItem(now time.Time, f quarantine.Implicated, place int) factItem {
+	data := appendMillis(binary.LittleEndian.AppendUint64(nil, f.Crash), now.Sub(f.At))
+	if place == anyPlace {
+		return factItem{kind: promptKind, data: data}
+	}
+	return factItem{kind: implicatedKind, data: binary.AppendUvarint(data, uint64(place))}
+}
+
 // appendPartAge encodes a part and the age of a fact about it.
 func appendPartAge(now time.Time, part uint64, at time.Time) []byte {
 	return appendMillis(binary.AppendUvarint(nil, part), now.Sub(at))
@@ -194,6 +228,14 @@
 			facts = append(facts, quarantine.Implicated{Trait: r.uvarint(), Place: place, Crash: crash, At: at})
 		}
 		return facts
+	case promptKind:
+		crash, at := r.uint64(), now.Add(-r.millis())
+		var facts []quarantine.Fact
+		for len(r.data) > 0 && !r.malformed {
+			place := r.count(maxPlace)
+			facts = append(facts, quarantine.Implicated{Trait: r.uvarint(), Place: place, Crash: crash, At: at})
+		}
+		return facts
 	case answeredKind:
 		return []quarantine.Fact{quarantine.Answered{Trait: r.uvarint(), At: now.Add(-r.millis())}}
 	case convictedKind:
--- a/exchange/factscodec_test.go
+++ b/exchange/factscodec_test.go
@@ -105,3 +105,18 @@
 		assert.DeepEqual(t, peers.Evidence(now), own.Evidence(now))
 	}
 }
+
+// TestFactsOfLongPrompt guards against facts about the parts of a long prompt that do not fit into a
+// datagram, or that come with other places.
+func TestFactsOfLongPrompt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := factsMessage{Sender: "entry-1", Facts: []quarantine.Fact{quarantine.Answered{Trait: 8, At: now}}}
+	for i := range maxSentFacts {
+		m.Facts = append(m.Facts, quarantine.Implicated{Trait: 1<<63 + uint64(i), Place: i + 900, Crash: 9, At: now})
+	}
+	data := encodeFacts(now, m)
+	assert.Assert(t, len(data) < maxDatagramBytes/4, "%d bytes", len(data))
+	got, err := decodeFacts(now, data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, m)
+}
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -20,6 +20,9 @@
 	// share of the stop, at most for maxEarly.
 	earlyShare = 0.33
 	maxEarly   = 2500 * time.Millisecond
+
+	freeParts = 64 // parts of a prompt that take nothing of the memory for bodies
+	partBytes = 32 // that a part takes, and the trait that follows from it
 )
 
 // admit finds the route and the organisation of a request, sets its rank and
@@ -51,9 +54,24 @@
 	if f := rs.refuseWhileLeaving(); f != nil {
 		return f
 	}
+	if f := rs.reserveParts(); f != nil {
+		return f
+	}
 	return rs.readBody()
 }
 
+// reserveParts takes memory for the parts of a long prompt and the traits that follow from them.
+// It refuses the request if none is left.
+func (rs *requestState) reserveParts() *request.Failure {
+	n := len(rs.headers.Prompt.Parts) - freeParts
+	if n <= 0 || rs.newBuffer().Reserve(int64(n)*partBytes) == nil {
+		return nil
+	}
+	rs.s.logMemorySpent()
+	rs.headers.Prompt.Parts = nil
+	return request.Unavailable("no memory is left for the parts of the prompt").WithRetryAfter(memoryRetryAfter)
+}
+
 // authorize finds the organisation of the request's key if the table requires
 // keys. It then refuses an unknown or missing key unless the route is open.
 func (rs *requestState) authorize() *request.Failure {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -59,7 +59,7 @@
 	Budget           *budget.Budget
 	Quarantine       *quarantine.Quarantine
 	Limits           *ratelimit.Limits
-	Memory           *buffer.Memory // for bodies
+	Memory           *buffer.Memory // for bodies and long prompts
 	// Admission decides on requests while room is short. If it is nil, refuseOverload does.
 	Admission *admission.Control
 	Usage     *usage.Service // counts requests; nil if they are not counted
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -16,7 +16,7 @@
 	breakTime      = 10 * time.Second       // time for which a broken connection is remembered
 	leavingTime    = 5 * time.Minute        // time for which a leaving upstream is remembered
 	maxBreaks      = 256                    // upstreams with broken connections
-	maxBreakTraits = 256                    // traits that waited at one upstream
+	maxBreakTraits = 1 << 16                // traits that waited at all of them together
 	maxLeaving     = 1024
 )
 
@@ -31,12 +31,6 @@
 	return incarnation{id: u.ID, born: u.Born}
 }
 
-// placedTrait is a trait with its place in the request.
-type placedTrait struct {
-	id    uint64
-	place int
-}
-
 // breakOff is what is known of an upstream that broke off requests.
 type breakOff struct {
 	upstream *route.Upstream
@@ -274,21 +268,37 @@
 		*b = breakOff{upstream: a.upstream, at: now}
 		first = true
 	}
-	for i, trait := range a.traits {
-		switch {
-		case a.survived(trait):
-		case b.crashed:
-			q.implicate(now, trait.ID, trait.place(i), a.crash(b, now), ownSource)
-		case len(b.traits) < maxBreakTraits:
-			b.traits = append(b.traits, placedTrait{id: trait.ID, place: trait.place(i)})
-		}
-	}
+	waited := a.unanswered()
 	if b.crashed {
+		q.implicateAll(now, waited, a.crash(b, now))
 		q.decide(now)
+		return first
 	}
+	b.traits = append(b.traits, waited[:min(len(waited), q.roomForTraits())]...)
 	return first
 }
 
+// unanswered returns the traits without an answer that the upstream has survived.
+func (a *Attempt) unanswered() []placedTrait {
+	var waited []placedTrait
+	for i, trait := range place(a.traits) {
+		if !a.survived(a.traits[i]) {
+			waited = append(waited, trait)
+		}
+	}
+	return waited
+}
+
+// roomForTraits returns how many further traits that waited at upstreams may be recorded. The
+// caller holds q.mu.
+func (q *Quarantine) roomForTraits() int {
+	room := maxBreakTraits
+	for _, b := range q.breaks {
+		room -= len(b.traits)
+	}
+	return max(room, 0)
+}
+
 // crash returns the crash of the attempt's upstream.
 func (a *Attempt) crash(b *breakOff, now time.Time) crash {
 	return crash{id: CrashID(a.upstream), at: b.at, learnedAt: now, upstream: a.upstream.ID}
@@ -321,9 +331,7 @@
 	b.crashed = true
 	c := crash{id: CrashID(u), at: b.at, learnedAt: now, upstream: u.ID}
 	q.recordCrash(c)
-	for _, trait := range b.traits {
-		q.implicate(now, trait.id, trait.place, c, ownSource)
-	}
+	q.implicateAll(now, b.traits, c)
 	b.traits = nil
 	q.decide(now)
 }
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -4,7 +4,7 @@
 
 const (
 	freshTime = 15 * time.Second // age up to which peers are told of crashes and answers
-	maxFacts  = 64               // facts that are told at once
+	maxFacts  = 512              // facts that are told at once
 
 	// Times from peers that differ by less than the tolerance are the same, because each
 	// transport translates them to the local clock anew.
@@ -59,10 +59,10 @@
 	if s.tried() && v.Until.Sub(s.verdict.Until) < verdictTolerance {
 		return
 	}
-	s.verdict = v
+	q.setVerdict(s, v)
 	s.released = false
 	if s.expired(now) {
-		delete(q.suspects, v.Trait)
+		q.forget(s)
 		return
 	}
 	q.generation++
@@ -78,7 +78,7 @@
 	defer q.unlock()
 	q.decideIfDue(now)
 	var verdicts, news []Fact
-	for _, s := range q.sorted() {
+	for _, s := range q.recentSuspects(now) {
 		if s.tried() {
 			verdicts = append(verdicts, s.verdict)
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -47,11 +47,13 @@
 	generation uint64
 	changed    bool // OnChange is due
 	suspects   map[uint64]*suspect
-	created    uint64         // number of suspects so far
-	answered   answeredTraits // parts, and what peers have told of
-	served     answeredTraits // whole requests
-	recent     []crash        // most recent crashes, the oldest first
-	decideAt   time.Time      // when crashes are to be judged, zero if all are
+	tried      map[uint64]*suspect // those of suspects that had a verdict which no answer has ended
+	sweptAt    time.Time           // when old suspects were last deleted
+	crowded    bool                // there were usualSuspects or more after that
+	answered   answeredTraits      // parts, and what peers have told of
+	served     answeredTraits      // whole requests
+	recent     []crash             // most recent crashes, the oldest first
+	decideAt   time.Time           // when crashes are to be judged, zero if all are
 	breaks     map[incarnation]*breakOff
 	waiting    map[*Attempt]bool         // requests without an event yet
 	leaving    map[incarnation]time.Time // when upstreams were seen to leave
@@ -99,7 +101,7 @@
 	defer q.unlock()
 	q.decideIfDue(now)
 	var verdicts []Convicted
-	for _, s := range q.sorted() {
+	for _, s := range sorted(q.tried) {
 		if s.convicted(now) {
 			verdicts = append(verdicts, s.verdict)
 		}
@@ -196,12 +198,12 @@
 // crashes, as when facts from peers arrive after it. A verdict of a peer stays while some of
 // the crashes that it is based on are not known here. The caller holds q.mu.
 func (q *Quarantine) reconsider(now time.Time) {
-	for _, s := range q.suspects {
+	for _, s := range q.tried {
 		if !s.convicted(now) || len(s.crashes) < max(s.verdict.Crashes, 1) || s.verdict.Until.Sub(s.verdict.At) > verdictTime {
 			continue
 		}
 		stronger := map[uint64]bool{}
-		for _, o := range q.suspects {
+		for _, o := range q.tried {
 			if o.convicted(now) && len(o.crashes) > len(s.crashes) {
 				o.addTo(stronger)
 			}
@@ -218,7 +220,7 @@
 	if s.tried() {
 		length = min(2*s.verdict.Until.Sub(s.verdict.At), maxVerdictTime)
 	}
-	s.verdict = Convicted{Trait: s.id, At: now, Until: now.Add(length), Crashes: len(s.crashes), Whole: s.whole()}
+	q.setVerdict(s, Convicted{Trait: s.id, At: now, Until: now.Add(length), Crashes: len(s.crashes), Whole: s.whole()})
 	q.announce()
 	q.withdraw(s.id)
 	q.log(now, s, ownSource).Warn(s.noun() + " is quarantined")
@@ -230,7 +232,7 @@
 func (q *Quarantine) doubtful(now time.Time, explained map[uint64]bool) map[uint64]bool {
 	crashes := maps.Clone(explained)
 	for _, s := range q.suspects {
-		if !s.answeredAt.IsZero() || s.convicted(now) || !s.limited(now, explained) {
+		if !s.answeredAt.IsZero() || s.convicted(now) || !s.mayBeLimited() || !s.limited(now, explained) {
 			continue
 		}
 		if crashes == nil {
@@ -250,7 +252,7 @@
 // explanation returns what the verdicts in force explain. The caller holds q.mu.
 func (q *Quarantine) explanation(now time.Time) explanation {
 	var e explanation
-	for _, v := range q.suspects {
+	for _, v := range q.tried {
 		if v.convicted(now) {
 			e.add(v)
 		}
@@ -286,7 +288,7 @@
 // isLimited reports whether only one request with the trait of the suspect s may run at a
 // time. The caller holds q.mu.
 func (q *Quarantine) isLimited(now time.Time, s *suspect) bool {
-	if !s.tried() && len(s.crashes) < suspectOccasions {
+	if !s.mayBeLimited() {
 		return false // as for most requests, without a look at the verdicts
 	}
 	return s.limited(now, q.explained(now, s))
--- a/quarantine/silence.go
+++ b/quarantine/silence.go
@@ -50,15 +50,11 @@
 	b.traits = q.waitedAt(in, b)
 	c := crash{id: CrashID(b.upstream), at: b.at, learnedAt: now, upstream: in.id}
 	q.recordCrash(c)
-	implicated := 0
-	for _, trait := range b.traits {
-		if q.silentWithout(b, trait.id) < minCommon {
-			implicated++
-			q.implicate(now, trait.id, trait.place, c, ownSource)
-		}
-	}
+	others := q.silentWith(b)
+	implicated := slices.DeleteFunc(slices.Clone(b.traits), func(t placedTrait) bool { return others.without(t.id) >= minCommon })
+	q.implicateAll(now, implicated, c)
 	q.Log.WithFields(logrus.Fields{
-		"Upstream": in.id, "SilentMillis": now.Sub(b.at).Milliseconds(), "Traits": len(b.traits), "Implicated": implicated,
+		"Upstream": in.id, "SilentMillis": now.Sub(b.at).Milliseconds(), "Traits": len(b.traits), "Implicated": len(implicated),
 	}).Info("silent upstream is not listed any more and has crashed")
 }
 
@@ -70,22 +66,36 @@
 		if incarnationOf(a.upstream) != in || a.begunAt.After(b.at) {
 			continue
 		}
-		for i, trait := range a.traits {
-			traits = append(traits, placedTrait{id: trait.ID, place: trait.place(i)})
-		}
+		traits = append(traits, place(a.traits)...)
 	}
 	return traits[:min(len(traits), maxBreakTraits)]
 }
 
-// silentWithout returns the number of other upstreams that fell silent at about the same time
-// and at which no request with the trait waited. The caller holds q.mu.
-func (q *Quarantine) silentWithout(b *breakOff, trait uint64) int {
-	n := 0
+// traitSets holds the traits of the requests that waited at each of several upstreams.
+type traitSets []map[uint64]bool
+
+// silentWith returns the traits at the other upstreams that fell silent at about the same time.
+// The caller holds q.mu.
+func (q *Quarantine) silentWith(b *breakOff) traitSets {
+	var sets traitSets
 	for in, o := range q.breaks {
 		if o == b || !o.silent || o.at.Sub(b.at).Abs() > silenceTolerance {
 			continue
 		}
-		if !slices.ContainsFunc(q.waitedAt(in, o), func(t placedTrait) bool { return t.id == trait }) {
+		set := map[uint64]bool{}
+		for _, t := range q.waitedAt(in, o) {
+			set[t.id] = true
+		}
+		sets = append(sets, set)
+	}
+	return sets
+}
+
+// without returns the number of upstreams at which no request with the trait waited.
+func (sets traitSets) without(trait uint64) int {
+	n := 0
+	for _, set := range sets {
+		if !set[trait] {
 			n++
 		}
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -2,13 +2,19 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	maxSuspects      = 1024
-	maxCrashes       = 16 // crashes kept for a trait
+	usualSuspects    = 1 << 10
+	maxSuspects      = 1 << 14     // while the most recent crashes have as many
+	evictedDivisor   = 4           // part of the suspects that is deleted at once when there are too many
+	sweepPeriod      = time.Second // between two deletions of suspects of no more use
+	maxCrashes       = 16          // crashes kept for a trait
 	maxRecentCrashes = 256
 	maxLoggedNames   = 8
 	addressHashBits  = 32 // upper bits of a crash's ID, which tell addresses apart
@@ -20,7 +26,6 @@
 // suspect is what is known of a trait that was implicated in a crash.
 type suspect struct {
 	id         uint64
-	number     uint64    // rises from suspect to suspect
 	place      int       // highest known place in a request, from 0
 	crashes    []crash   // not voided by an answer, the oldest first
 	answeredAt time.Time // when an upstream last survived an answer
@@ -159,6 +164,11 @@
 	return !s.answeredAt.IsZero() && t.Sub(s.answeredAt) < recentTime
 }
 
+// mayBeLimited reports whether the trait has had a verdict or enough crashes to be limited.
+func (s *suspect) mayBeLimited() bool {
+	return s.tried() || len(s.crashes) >= suspectOccasions
+}
+
 // limited reports whether only one request with the trait may run at a time.
 func (s *suspect) limited(now time.Time, explained map[uint64]bool) bool {
 	if s.onProbation(now) {
@@ -188,6 +198,15 @@
 	return cmp.Or(cmp.Compare(s.place, o.place), cmp.Compare(s.id, o.id)) < 0
 }
 
+// shuffled returns a number that orders suspects anew with each of their crashes.
+func (s *suspect) shuffled() uint64 {
+	key := binary.LittleEndian.AppendUint64(nil, s.id)
+	if n := len(s.crashes); n > 0 {
+		key = binary.LittleEndian.AppendUint64(key, s.crashes[n-1].id)
+	}
+	return xxhash.Sum64(key)
+}
+
 // addTo adds the IDs of the crashes to a set.
 func (s *suspect) addTo(crashes map[uint64]bool) {
 	for _, c := range s.crashes {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,33 +29,62 @@
 		return s
 	}
 	if q.suspects == nil {
-		q.suspects = map[uint64]*suspect{}
+		q.suspects, q.tried = map[uint64]*suspect{}, map[uint64]*suspect{}
 	}
 	q.makeRoom(now)
-	q.created++
-	s = &suspect{id: trait, number: q.created, answeredAt: q.answeredAt(trait), touchedAt: now}
+	s = &suspect{id: trait, answeredAt: q.answeredAt(trait), touchedAt: now}
 	q.suspects[trait] = s
 	return s
 }
 
-// makeRoom deletes the suspects of no more use and, if there are still too many, the
-// least important one. The caller holds q.mu.
+// setVerdict gives a suspect a verdict. The caller holds q.mu.
+func (q *Quarantine) setVerdict(s *suspect, v Convicted) {
+	s.verdict = v
+	q.tried[s.id] = s
+}
+
+// forget deletes a suspect. The caller holds q.mu.
+func (q *Quarantine) forget(s *suspect) {
+	delete(q.suspects, s.id)
+	delete(q.tried, s.id)
+}
+
+// makeRoom deletes the suspects of no more use from time to time. If there are more than
+// usualSuspects, it also deletes some that are not recent, and if there are maxSuspects, some of
+// all. The caller holds q.mu.
 func (q *Quarantine) makeRoom(now time.Time) {
-	var least *suspect
-	for trait, s := range q.suspects {
-		if s.running > 0 {
-			continue
-		}
-		if s.expired(now) {
-			delete(q.suspects, trait)
-			continue
-		}
-		if least == nil || s.lessImportant(least) {
-			least = s
+	most := usualSuspects
+	if q.crowded {
+		most = maxSuspects
+	}
+	if len(q.suspects) < most && now.Sub(q.sweptAt) < sweepPeriod {
+		return
+	}
+	q.sweptAt = now
+	full := len(q.suspects) >= maxSuspects
+	var dispensable []*suspect
+	for _, s := range q.suspects {
+		switch {
+		case s.running > 0:
+		case s.expired(now):
+			q.forget(s)
+		case full || now.Sub(s.touchedAt) > recentTime:
+			dispensable = append(dispensable, s)
 		}
 	}
-	if len(q.suspects) >= maxSuspects && least != nil {
-		delete(q.suspects, least.id)
+	if n := len(q.suspects); n >= usualSuspects {
+		q.forgetLeast(dispensable, n/evictedDivisor)
+	}
+	q.crowded = len(q.suspects) >= usualSuspects
+}
+
+// forgetLeast deletes the n least important ones of some suspects. Of equals any are deleted, so
+// that no part of a prompt is missed for its place. The caller holds q.mu.
+func (q *Quarantine) forgetLeast(suspects []*suspect, n int) {
+	rand.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	slices.SortStableFunc(suspects, compareImportance)
+	for _, s := range suspects[:min(len(suspects), n)] {
+		q.forget(s)
 	}
 }
 
@@ -64,33 +96,57 @@
 	return now.Sub(s.touchedAt) > evidenceTime
 }
 
-// lessImportant reports whether s is deleted before o.
-func (s *suspect) lessImportant(o *suspect) bool {
-	if s.tried() != o.tried() {
-		return o.tried()
-	}
-	if len(s.crashes) != len(o.crashes) {
-		return len(s.crashes) < len(o.crashes)
-	}
-	return s.touchedAt.Before(o.touchedAt)
+// compareImportance orders suspects by importance: the least important one is deleted first.
+func compareImportance(a, b *suspect) int {
+	switch {
+	case a.tried() != b.tried() && b.tried():
+		return -1
+	case a.tried() != b.tried():
+		return 1
+	}
+	return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), a.touchedAt.Compare(b.touchedAt))
 }
 
-// sorted returns the suspects, those with the most recent news first. The caller holds
-// q.mu.
-func (q *Quarantine) sorted() []*suspect {
-	all := make([]*suspect, 0, len(q.suspects))
-	for _, s := range q.suspects {
-		all = append(all, s)
+// recentSuspects returns the suspects of which there may be facts, those with the most recent
+// news first. The caller holds q.mu.
+func (q *Quarantine) recentSuspects(now time.Time) []*suspect {
+	recent := maps.Clone(q.tried)
+	for id, s := range q.suspects {
+		if now.Sub(s.touchedAt) <= freshTime {
+			recent[id] = s
+		}
 	}
+	return sorted(recent)
+}
+
+// sorted returns suspects, those with the most recent news first, of equally recent ones those
+// with the most crashes. The order of others differs from crash to crash, so that no part of a
+// prompt is left out for its place where there is not room for all.
+func sorted(suspects map[uint64]*suspect) []*suspect {
+	all := slices.Collect(maps.Values(suspects))
 	slices.SortFunc(all, func(a, b *suspect) int {
-		if c := b.touchedAt.Compare(a.touchedAt); c != 0 {
-			return c
-		}
-		return int(a.number) - int(b.number)
+		return cmp.Or(b.touchedAt.Compare(a.touchedAt), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.shuffled(), b.shuffled()))
 	})
 	return all
 }
 
+// implicateAll records that traits were implicated in a crash that this instance has seen. It
+// begins with those that were in another one, because the others may take their room. The
+// caller holds q.mu.
+func (q *Quarantine) implicateAll(now time.Time, traits []placedTrait, c crash) {
+	var fresh []placedTrait
+	for _, t := range traits {
+		if q.suspects[t.id] == nil {
+			fresh = append(fresh, t)
+			continue
+		}
+		q.implicate(now, t.id, t.place, c, ownSource)
+	}
+	for _, t := range fresh {
+		q.implicate(now, t.id, t.place, c, ownSource)
+	}
+}
+
 // implicate records that a trait was implicated in a crash. The caller holds q.mu.
 func (q *Quarantine) implicate(now time.Time, trait uint64, place int, c crash, source string) {
 	q.recordCrash(c)
@@ -145,6 +201,9 @@
 	if !s.answer(at) {
 		return
 	}
+	if !s.tried() {
+		delete(q.tried, trait)
+	}
 	s.touchedAt = now
 	q.generation++
 	if source == ownSource {
--- a/quarantine/trait.go
+++ b/quarantine/trait.go
@@ -27,8 +27,9 @@
 // Traits returns the traits of a request: the parts of its prompt that others may share, in
 // their order, and its fingerprints.
 func Traits(prompt *request.Prompt, fingerprints ...uint64) []Trait {
-	var traits []Trait
-	for _, p := range prompt.Shared() {
+	shared := prompt.Shared()
+	traits := make([]Trait, 0, len(shared)+len(fingerprints))
+	for _, p := range shared {
 		traits = append(traits, Trait{ID: p.ID})
 	}
 	for _, f := range fingerprints {
@@ -56,13 +57,25 @@
 	return binary.LittleEndian.Uint64(h.Sum(nil))
 }
 
-// place returns the place of the i-th trait of a request, which orders traits by how few
+// placedTrait is a trait with its place in the request, which orders traits by how few
 // requests have them.
-func (t Trait) place(i int) int {
-	if t.Whole {
-		return wholePlace + i
+type placedTrait struct {
+	id    uint64
+	place int
+}
+
+// place returns the traits of a request, those of its parts first, with their places.
+func place(traits []Trait) []placedTrait {
+	placed := make([]placedTrait, len(traits))
+	wholes := 0
+	for i, t := range traits {
+		placed[i] = placedTrait{id: t.ID, place: min(i, wholePlace-1)}
+		if t.Whole {
+			placed[i].place = wholePlace + wholes
+			wholes++
+		}
 	}
-	return min(i, wholePlace-1)
+	return placed
 }
 
 // TraitName returns a trait's ID as it is logged.
--- a/simulation/edge_memory_test.go
+++ b/simulation/edge_memory_test.go
@@ -60,3 +60,24 @@
 		})
 	}
 }
+
+// TestPartsWithoutMemory guards against prompts of so many parts that they take more than the memory
+// of the process: they are refused as not run, and their memory is free again.
+func TestPartsWithoutMemory(t *testing.T) {
+	simulateRoutes(t, 1, func(sim *routeSimulation) {
+		memory := sim.instances[0].Forward.Memory
+		memory.Limit = 10_000 // bytes
+		for _, c := range []struct{ parts, status int }{{64, 200}, {300, 200}, {2000, 503}, {300, 200}} {
+			got := sim.send(request{path: "/talk/1?events=2", id: "p" + itoa(c.parts), header: map[string]string{
+				"X-Knapweedwell-Prompt-Prefix": ownParts(1, c.parts) + "ab:1", "X-Knapweedwell-Token-Usage": "1600,20",
+			}})
+			if got.status != c.status {
+				t.Errorf("%d parts: status %d, expected %d", c.parts, got.status, c.status)
+			}
+		}
+		time.Sleep(time.Second)
+		if used := memory.Used(); used != 0 {
+			t.Errorf("%d bytes are still taken", used)
+		}
+	})
+}
--- a/simulation/edge_quarantine_test.go
+++ b/simulation/edge_quarantine_test.go
@@ -170,10 +170,12 @@
 		name   string
 		dark   bool
 		deadly string // ID of the deadly part
+		before int    // parts before it that no other request has
 	}{
-		{"resets", false, deadlyPart},
-		{"dark", true, deadlyPart},
-		{"long ID", false, longPart},
+		{"resets", false, deadlyPart, 0},
+		{"dark", true, deadlyPart, 0},
+		{"long ID", false, longPart, 0},
+		{"many parts", false, deadlyPart, 400},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			simulateRoutes(t, 3, func(sim *routeSimulation) {
@@ -181,7 +183,7 @@
 				fleet.dark = c.dark
 				fleet.checkDeadly(5, func(tr *traffic, n int, deadly bool) {
 					if deadly {
-						tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", c.deadly)
+						tr.stream(n/deadlyIn%3, "deadly-"+itoa(n), "aa", ownParts(n, c.before)+c.deadly)
 					} else {
 						tr.stream(n%3, "sound-"+itoa(n), "aa", "b"+itoa(n%7))
 					}
@@ -191,6 +193,15 @@
 	}
 }
 
+// ownParts returns the beginning of a list with parts that only the n-th request has.
+func ownParts(n, parts int) string {
+	var list strings.Builder
+	for i := range parts {
+		fmt.Fprintf(&list, "%x:1,", 1<<30+n<<12+i)
+	}
+	return list.String()
+}
+
 // Times of the traffic in which one request in deadlyIn is deadly, after warmUp ticks without.
 const (
 	deadlyTicks = 1000
