Hold removed upstreams for expired only after an outage that was long enough

Cause: an instance that takes over misses many entries at once. Two, and a third of all, counted as expired in an outage, for 2 s from then, whatever was known. A share of the list is no evidence, and its own time without an answer is long because it was idle.

Why this works: the reports of the instances that followed the store show when it had answered them. The successor takes that for the end of what an outage can have been, and entries count as expired only if so many can have expired in that time. Entries that do expire in an outage are kept as before: TestEntriesExpire, TestOutageRetainsExpired, TestMassExpiry and the tests of restores are unchanged.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -155,7 +155,7 @@
 	}
 	i.Roster = &roster.Service{
 		Platform: i.store, Peers: i.Peers, Log: i.Log, Role: i.role, Deadline: i.Settings.Routes.LeavingDeadline,
-		Heartbeat: i.Settings.Routes.UpstreamHeartbeat,
+		Heartbeat: i.Settings.Routes.UpstreamHeartbeat, AnsweredAt: func() time.Time { return i.Exchange.StoreAnsweredAt() },
 		OnChange: func(r *roster.Roster) {
 			i.Quarantine.Leaving(time.Now(), r.LeavingUpstreams())
 			i.Quarantine.Listed(time.Now(), r.Entries)
@@ -181,6 +181,7 @@
 		Position:         i.Roster.Position,
 		StoreUnreachable: i.Roster.StoreUnreachable,
 		LastFailure:      i.Roster.LastFailure,
+		AnswerAges:       i.Roster.AnswerAges,
 		News:             i.Heartbeats.RecentChanges,
 		MergeNews:        i.Heartbeats.MergeNews,
 		FetchMembers:     i.Heartbeats.FetchMembersAsync,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -83,6 +83,10 @@
 	// instance, and LastFailure when that was.
 	StoreUnreachable func() bool
 	LastFailure      func() time.Time
+	// AnswerAges returns how old the newest answer of the store may be at an instance that follows
+	// it: while the store answers, and when the instance reports that it does not. Nil means that
+	// the reports are not asked for the store's answers.
+	AnswerAges func() (usual, most time.Duration)
 	// News returns the members that changed recently, and MergeNews applies those of
 	// another instance. FetchMembers fetches all members of the instance at an address.
 	News         func() []member.Member
@@ -112,6 +116,7 @@
 	// unfollowedAt is since when too few of the instances before this one reach the
 	// store, zero if enough do.
 	unfollowedAt time.Time
+	storeAnswers storeAnswers
 	logged       beliefs // as in the most recent round
 	sharing      *sharing
 	limits       limitSharing
@@ -173,6 +178,7 @@
 func (s *Service) round() {
 	now := time.Now()
 	plan, round := s.updatePlan(now)
+	s.recordStoreAnswers(now)
 	s.logChanges(plan)
 	s.checkFacts(now)
 	s.roundFacts(now, plan, round)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -239,6 +239,13 @@
 	return wait
 }
 
+// AnswerAges returns how old the newest answer of the store may be at an Alert instance: while the
+// store answers, and when the instance has noticed that it does not.
+func (f *Follower) AnswerAges() (usual, most time.Duration) {
+	usual = f.alertWait() + collectTime
+	return usual, usual + platform.WatchMargin
+}
+
 // recordAnswer records an answer of the store and the revision in it, zero if there is none.
 // It ends an outage. The answer is as of the latest time given, or of now if that is earlier:
 // it may have been there for long before an instance that did not run has read it.
--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -15,7 +15,7 @@
 	// localMarkBits is the number of low bits of a mark that count the changes
 	// between two revisions of the store, such as dropping retained entries.
 	localMarkBits = 8
-	// Entries that are removed at once count as expired if there are at least
+	// Entries that are removed at once may have expired only if there are at least
 	// minExpired of them and at least one in expiredDivisor of all entries.
 	minExpired     = 2
 	expiredDivisor = 3
@@ -47,14 +47,23 @@
 	revision int64
 	// Entries that are missed before retainUntil are retained until then.
 	retainUntil time.Time
-	// completeAt is when the list last held all changes of the store, if the store has
-	// answered ever since; zero if it may have been away for so long that entries expired.
-	completeAt    time.Time
+	// before is the longest outage of the store that may have ended with the answer that is being
+	// applied.
+	before        outage
 	changes       []change    // most recent changes, the oldest first
 	completeAfter int64       // mark after which changes is complete, but for gaps
 	gaps          []gap       // the oldest first
 	unlisted      bool        // no complete list has been applied in this era
 	news          []retention // changes of retained since they were last taken
+	loss          *loss       // the newest one that has not been taken
+}
+
+// loss is that of many entries at once.
+type loss struct {
+	entries int // that are missing
+	of      int // all entries
+	before  outage
+	expired bool // they count as expired
 }
 
 // retention is the beginning or the end of the use of an entry that the store does not list.
@@ -66,6 +75,7 @@
 func newEntryList() *entryList {
 	return &entryList{
 		entries: map[string]*route.Upstream{}, retained: map[string]time.Time{}, departures: map[string]departure{}, unlisted: true,
+		before: unknownOutage,
 	}
 }
 
@@ -122,10 +132,9 @@
 	return changed
 }
 
-// detectExpiry starts a retention period if so many entries are removed at once
-// that they have probably expired and their upstreams have not left, as after an
-// outage that this instance has not noticed itself. The period begins when they may have been
-// removed.
+// detectExpiry starts a retention period if so many entries are removed at once, after an outage of
+// the store that this instance has not noticed itself, that they have probably expired and their
+// upstreams have not left.
 func (l *entryList) detectExpiry(now time.Time, gone []string) {
 	expired := 0
 	for _, id := range gone {
@@ -133,13 +142,15 @@
 			expired++
 		}
 	}
-	if expired >= minExpired && expired*expiredDivisor >= len(l.entries) && !now.Before(l.retainUntil) {
-		start := now
-		if !l.completeAt.IsZero() {
-			start = l.completeAt
-		}
-		l.retainUntil = start.Add(RetainTime)
+	if expired < minExpired || expired*expiredDivisor < len(l.entries) || now.Before(l.retainUntil) {
+		return
+	}
+	loss := loss{entries: expired, of: len(l.entries), before: l.before}
+	loss.expired = loss.before.mayExpireShare(loss.entries, loss.of)
+	if loss.expired {
+		l.retainUntil = now.Add(RetainTime)
 	}
+	l.loss = &loss
 }
 
 // commit sets the mark of the changes since the last call, if there are any. It
--- a/roster/service.go
+++ b/roster/service.go
@@ -30,9 +30,6 @@
 	maxLoggedRetentions = 20 // lines of one change of the list
 
 	defaultHeartbeat = 1200 * time.Millisecond
-	// An entry expires after missedHeartbeats without a write. The last write may have been a
-	// heartbeat before an outage, so that an outage of one less may be enough.
-	missedHeartbeats = 3
 )
 
 // Service maintains the roster. The exported fields are set before Run.
@@ -48,6 +45,9 @@
 	// Heartbeat is the time between two writes of an upstream to its entry; zero means
 	// defaultHeartbeat.
 	Heartbeat time.Duration
+	// AnsweredAt returns a time at which the store had answered another instance lately, zero if none
+	// is known; may be nil.
+	AnsweredAt func() time.Time
 	// OnChange is called with each new roster; may be nil.
 	OnChange func(*Roster)
 
@@ -124,6 +124,7 @@
 func (s *Service) update(complete bool, change func(*entryList) bool) {
 	s.mu.Lock()
 	changed := change(s.list)
+	s.logLoss()
 	s.logRetentions()
 	if !changed && !(complete && s.Current() == nil) {
 		s.mu.Unlock()
@@ -138,6 +139,19 @@
 	}
 }
 
+// logLoss logs that many entries were missing at once, and what that was taken for. The caller holds
+// s.mu.
+func (s *Service) logLoss() {
+	loss := s.list.loss
+	if loss == nil {
+		return
+	}
+	s.list.loss = nil
+	s.Log.WithFields(logrus.Fields{
+		"Missing": loss.entries, "Of": loss.of, "SilenceMillis": loss.before.length.Milliseconds(), "Expired": loss.expired,
+	}).Info("many upstreams are missing in the store at once")
+}
+
 // logRetentions logs which entries are used from now on although the store does not list
 // them, until when, and which ones no longer. The caller holds s.mu.
 func (s *Service) logRetentions() {
@@ -176,7 +190,7 @@
 
 // storeReturned starts a retention period if entries may have expired.
 func (s *Service) storeReturned() {
-	if !s.completeAt().IsZero() {
+	if o := (outage{length: s.follower.Silence(), heartbeat: s.heartbeat()}); !o.mayExpire() {
 		return
 	}
 	s.mu.Lock()
@@ -184,14 +198,22 @@
 	s.list.storeReturned(time.Now())
 }
 
-// completeAt returns when all changes were known before the newest answer of the store, zero
-// if entries may have expired since.
-func (s *Service) completeAt() time.Time {
+// outage returns the longest outage of the store that may have ended with its newest answer: none
+// is known to have answered since, neither this instance nor another one.
+func (s *Service) outage() outage {
 	silence := s.follower.Silence()
-	if silence >= (missedHeartbeats-1)*s.heartbeat() {
-		return time.Time{}
+	if s.AnsweredAt != nil {
+		if at := s.AnsweredAt(); !at.IsZero() {
+			silence = min(silence, time.Since(at))
+		}
 	}
-	return time.Now().Add(-silence)
+	return outage{length: silence, heartbeat: s.heartbeat()}
+}
+
+// AnswerAges returns how old the newest answer of the store may be at an instance that follows it:
+// while the store answers, and when the instance has noticed that it does not.
+func (s *Service) AnswerAges() (usual, most time.Duration) {
+	return s.follower.AnswerAges()
 }
 
 func (s *Service) applyListing(listing platform.Listing) {
@@ -201,23 +223,25 @@
 			entries = append(entries, e)
 		}
 	}
+	before := s.outage()
 	s.update(true, func(l *entryList) bool {
 		if listing.Era < l.era {
 			return false
 		}
 		l.startEra(time.Now(), listing.Era)
-		l.completeAt = s.completeAt()
+		l.before = before
 		return l.replaceAll(time.Now(), listing.Revision, entries)
 	})
 }
 
 func (s *Service) applyChanges(c platform.Changes) {
 	changes := s.decodeChanges(c)
+	before := s.outage()
 	s.update(false, func(l *entryList) bool {
 		if c.Era != l.era || l.outdated(c.Revision) {
 			return false
 		}
-		l.completeAt = s.completeAt()
+		l.before = before
 		return l.applyChanges(time.Now(), c.Revision, changes)
 	})
 }
