Measure an outage from the store's last answer to any follower, also after a failed call

Requests reached the upstream for longer than 2.5 s after its removal.

Cause: a failed call begins an outage, and the instance that took over counted its own idleness as part of it, so that single entries counted as expired for 2 s.

Why this works: roster.Service.storeReturned asks for the same evidence as many entries that are missing at once: the time since the store's last answer to this instance or to one that followed it.

--- a/roster/service.go
+++ b/roster/service.go
@@ -190,7 +190,7 @@
 
 // storeReturned starts a retention period if entries may have expired.
 func (s *Service) storeReturned() {
-	if o := (outage{length: s.follower.Silence(), heartbeat: s.heartbeat()}); !o.mayExpire() {
+	if outage := s.outage(); !outage.mayExpire() {
 		return
 	}
 	s.mu.Lock()
