Take no number of an era for a sign that none is known

Cause: zero stood for "no era named". The roster did not take the next era for a restore and gave peers that asked from era 0 the changes only, which they refuse. The same zero hid restores from revision, claimstore, usage, verdictstore and heartbeat. On the same path, datagrams sent eras above 2^31 - 1 as 0, and the holder of duties compared a capped era with the whole one, so that nobody held them.

Why this works: the store's client says whether an era is known, and those that compare eras keep that beside the number. Datagrams hold the era modulo 2^31, and the receiver takes the one next to its own, so that era 0 need no longer stand for any era.

--- a/claimstore/era.go
+++ b/claimstore/era.go
@@ -19,27 +19,29 @@
 	keepMethod   = "Claim.Keep"
 	eraPeriod    = 200 * time.Millisecond // time between checks of the store's era
 	writeTimeout = 10 * time.Second       // for writing all remembered claims again
+	neverWritten = -1                     // is no era
 )
 
 // eras is what this instance knows of the eras of the store. The lock of Service guards it.
 type eras struct {
 	seen     int64     // highest era in an answer of the store
+	known    bool      // an answer has named an era
 	restored int64     // highest era that is known to have begun because the store came back from a copy
 	began    time.Time // when that was learned
-	written  int64     // era in which all remembered claims of this instance are in the store
+	written  int64     // era in which all remembered claims of this instance are in the store, or neverWritten
 	settled  int64     // era in which those of all instances are
 	learned  bool      // other instances were asked for these after the start
 }
 
-// notice records the era of an answer of the store.
-func (e *eras) notice(now time.Time, era int64) {
-	if era <= e.seen {
+// notice records the era of an answer of the store, if one has named it.
+func (e *eras) notice(now time.Time, era int64, known bool) {
+	if !known {
 		return
 	}
-	if e.seen > 0 {
+	if e.known && era > e.seen {
 		e.restoredTo(now, era)
 	}
-	e.seen = era
+	e.seen, e.known = max(e.seen, era), true
 }
 
 // restoredTo records that an era has begun because the store came back from a copy.
@@ -77,7 +79,8 @@
 	}
 	s.recent.put(now, storedClaim{Claim: c})
 	s.mu.Lock()
-	s.eras.notice(now, s.Store.Platform.Era())
+	era, named := s.Store.Platform.KnownEra()
+	s.eras.notice(now, era, named)
 	known := s.eras
 	s.mu.Unlock()
 	if known.learned && known.restored <= known.settled {
@@ -204,7 +207,7 @@
 		s.recent.put(time.Now(), st)
 	}
 	s.mu.Lock()
-	s.eras.written = 0 // those of the leaving instance may not be in the store yet
+	s.eras.written = neverWritten // those of the leaving instance may not be in the store yet
 	s.mu.Unlock()
 	s.Log.WithFields(logrus.Fields{"Instance": from, "Claims": len(claims)}).Info("claims were taken over")
 	return nil, nil
@@ -223,9 +226,9 @@
 
 // checkEra writes the remembered claims again once the store has begun another era.
 func (s *Service) checkEra(ctx context.Context, now time.Time) {
-	era := s.Store.Platform.Era()
+	era, known := s.Store.Platform.KnownEra()
 	s.mu.Lock()
-	s.eras.notice(now, era)
+	s.eras.notice(now, era, known)
 	due := s.eras.written != era
 	// What an instance that has ended remembered is too old by then to be asked for.
 	if !due && now.Sub(s.eras.began) > recentTime {
--- a/claimstore/era_test.go
+++ b/claimstore/era_test.go
@@ -28,7 +28,11 @@
 }
 
 func newEraFleet(t *testing.T, n int) *eraFleet {
-	fl := &eraFleet{t: t, store: standin.New()}
+	return newEraFleetOf(t, standin.New(), n)
+}
+
+func newEraFleetOf(t *testing.T, store *standin.Server, n int) *eraFleet {
+	fl := &eraFleet{t: t, store: store}
 	server := httptest.NewServer(fl.store.Handler())
 	t.Cleanup(server.Close)
 	fl.address = strings.TrimPrefix(server.URL, "http://")
@@ -191,3 +195,18 @@
 	assert.Equal(t, newcomer.Take(ctx, newcomer.claimOf("fourth key", "4")), claim.Acquired{})
 	assert.Equal(t, newcomer.eras.settled, s.eras.settled)
 }
+
+// TestClaimsInAnyFirstEra guards against a key that a second instance acquires because the first era
+// of the store has the number zero, so that the next one was not taken for a restored store.
+func TestClaimsInAnyFirstEra(t *testing.T) {
+	for _, first := range []int64{0, 1, 7, 1 << 40} {
+		fl := newEraFleetOf(t, standin.NewInEra(first), 3)
+		for i, s := range fl.services {
+			assert.Equal(t, s.Take(t.Context(), s.claimOf("first-"+s.Identity, string(rune('a'+i)))), claim.Acquired{})
+		}
+		holder, other := fl.services[0], fl.services[1]
+		assert.Equal(t, holder.Take(t.Context(), holder.claimOf("key", "1")), claim.Acquired{})
+		fl.restore()
+		assert.DeepEqual(t, other.Take(t.Context(), other.claimOf("key", "2")), claim.Busy{Holder: "entry-1@1"})
+	}
+}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -25,9 +25,15 @@
 
 // simulate runs a case with n candidates on a virtual clock.
 func simulate(t *testing.T, n int, f func(fl *testFleet)) {
+	t.Helper()
+	simulateStore(t, standin.New, n, f)
+}
+
+// simulateStore runs a case with the store that a function returns.
+func simulateStore(t *testing.T, store func() *standin.Server, n int, f func(fl *testFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fl := newTestFleet(t, n)
+		fl := newTestFleet(t, store(), n)
 		defer fl.close()
 		f(fl)
 	})
@@ -126,6 +132,25 @@
 	}
 }
 
+// TestHolderInAnyFirstEra guards against duties that nobody holds because the era of the store is none
+// that a token can hold, and against a token that does not rise with the next era.
+func TestHolderInAnyFirstEra(t *testing.T) {
+	for _, first := range []int64{0, 1, 7, 1<<31 + 5, 1 << 41} {
+		store := func() *standin.Server { return standin.NewInEra(first) }
+		simulateStore(t, store, 3, func(fl *testFleet) {
+			saved := time.Now()
+			h, _ := fl.await(nil, startLimit)
+			_, token, _ := h.Held()
+			fl.pass(8 * time.Second)
+			fl.store.Restore(time.Since(saved), -1)
+			fl.pass(2 * time.Second)
+			_, second, ok := h.Held()
+			assert.Assert(t, ok, "the holder did not go on after first era %d", first)
+			assert.Assert(t, second > token && eraOf(second) > eraOf(token), "token %d follows %d", second, token)
+		})
+	}
+}
+
 // TestRestoredCopyAfterKill guards against a successor whose token is not above that of a holder
 // of which the copy knows nothing.
 func TestRestoredCopyAfterKill(t *testing.T) {
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -15,8 +15,7 @@
 	minMargin   = 200 * time.Millisecond
 	eraShift    = 32 // bits of a token below the era of the store
 	maxNumber   = 1<<eraShift - 1
-	// maxEra keeps tokens positive.
-	maxEra = 1<<30 - 1
+	eras        = 1 << 30 // that a token tells apart; it stays positive
 )
 
 // record is the value of the lease's object.
@@ -50,7 +49,7 @@
 
 // gives reports whether the object gives its holder the lease in the present era.
 func (s sighting) gives() bool {
-	return s.readable && !s.record.Released && s.era == eraOf(s.record.Token)
+	return s.readable && !s.record.Released && tokenEra(s.era) == eraOf(s.record.Token)
 }
 
 // olderThan reports whether a read shows an earlier state of the store than another one.
@@ -148,7 +147,7 @@
 	if !l.known || (l.hasLost && now.atLeast(l.lostAt) < l.length) {
 		return false
 	}
-	if l.seen.readable && l.seen.record.Released && eraOf(l.seen.record.Token) == l.seen.era {
+	if l.seen.readable && l.seen.record.Released && eraOf(l.seen.record.Token) == tokenEra(l.seen.era) {
 		return true
 	}
 	return now.atLeast(l.seen.at) > l.length+l.margin
@@ -157,14 +156,14 @@
 // mayResume reports whether the holder of an earlier era may write the lease at once in the
 // present one: no other holder has written it since the store came back.
 func (l *lease) mayResume(era int64) bool {
-	return l.known && l.seen.era == era && (!l.seen.readable || eraOf(l.seen.record.Token) < era)
+	return l.known && l.seen.era == era && (!l.seen.readable || eraOf(l.seen.record.Token) < tokenEra(era))
 }
 
 // nextToken returns a token above all that were given out. The number of a token never exceeds
 // the store's revision, because each holder has written once at least: where the object
 // is absent or unreadable, the revision takes the place of the last number.
 func (l *lease) nextToken() int64 {
-	era := min(l.seen.era, maxEra)
+	era := tokenEra(l.seen.era)
 	token := max(era<<eraShift, l.highest) + 1
 	if !l.seen.readable {
 		token = max(token, era<<eraShift|min(l.seen.store, maxNumber))
@@ -172,6 +171,11 @@
 	return token
 }
 
+// tokenEra returns the part of a token that stands for an era.
+func tokenEra(era int64) int64 {
+	return era % eras
+}
+
 func eraOf(token int64) int64 {
 	return token >> eraShift
 }
--- a/duty/network_test.go
+++ b/duty/network_test.go
@@ -67,8 +67,8 @@
 	events  atomic.Int64 // calls of OnChange
 }
 
-func newTestFleet(t *testing.T, n int) *testFleet {
-	fl := &testFleet{t: t, started: time.Now(), store: standin.New(), api: &dutyapi.Server{}}
+func newTestFleet(t *testing.T, store *standin.Server, n int) *testFleet {
+	fl := &testFleet{t: t, started: time.Now(), store: store, api: &dutyapi.Server{}}
 	storeAt, apiAt := fl.serve(fl.store.Handler()), fl.serve(fl.api)
 	for i := range n {
 		fl.add("entry-"+string(rune('1'+i)), storeAt, apiAt)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -214,9 +214,10 @@
 }
 
 // storeEra returns the highest era of the store that this instance knows, by its own calls
-// or by its peers.
-func (i *Instance) storeEra() int64 {
-	return max(i.store.Era(), i.Roster.Position().Era)
+// or by its peers, and whether it knows any.
+func (i *Instance) storeEra() (era int64, known bool) {
+	era, known = i.store.KnownEra()
+	return max(era, i.Roster.Position().Era), known || i.Roster.Current() != nil
 }
 
 // engineMemory returns the cache capacity of an upstream's engine in tokens. It
@@ -278,7 +279,10 @@
 	i.metrics.Gauge("knapweedwell_limited_upstreams", func() float64 { return float64(i.Limits.Limited()) })
 	i.metrics.Gauge("knapweedwell_body_memory_bytes", func() float64 { return float64(i.Forward.Memory.Used()) })
 	i.metrics.Gauge("knapweedwell_body_memory_refused_total", func() float64 { return float64(i.Forward.Memory.Refused()) })
-	i.metrics.Gauge("knapweedwell_store_era", func() float64 { return float64(i.storeEra()) })
+	i.metrics.Gauge("knapweedwell_store_era", func() float64 {
+		era, _ := i.storeEra()
+		return float64(era)
+	})
 	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
 	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
 		dialed, _ := i.connections.Counts()
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -75,8 +75,9 @@
 // status serves GET /status.
 func (o *operatorServer) status(w http.ResponseWriter, _ *http.Request) {
 	i := o.instance
+	era, _ := i.storeEra()
 	s := Status{
-		Name: i.Settings.Name, Version: i.Routing.Version(), RosterAt: i.Roster.Position().Mark, StoreEra: i.storeEra(), StoreAway: i.Roster.StoreUnreachable(),
+		Name: i.Settings.Name, Version: i.Routing.Version(), RosterAt: i.Roster.Position().Mark, StoreEra: era, StoreAway: i.Roster.StoreUnreachable(),
 		StoreSilence: time.Since(i.Routing.LastAnswer()), Members: i.Heartbeats.Members(), Leaving: i.Roster.Current().Leaving(), Duties: i.dutiesStatus(),
 	}
 	i.Heartbeats.With(func(v *member.View) { s.State = v.Self.State.String() })
--- a/exchange/aggregation.go
+++ b/exchange/aggregation.go
@@ -77,7 +77,7 @@
 // Digests of different keys may overtake each other.
 func (a *aggregation) isNewer(key digestKey, incarnation int64, sequence uint64) bool {
 	last := a.positions[key]
-	if last.incarnation == incarnation && sequence <= last.sequence {
+	if last.incarnation == incarnation && outdated(sequence, last.sequence) {
 		return false
 	}
 	a.positions[key] = digestPosition{incarnation: incarnation, sequence: sequence}
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -20,7 +20,7 @@
 	// eraShift is the number of bits below the era of the store in a sequence number.
 	// Earlier builds read the number as a whole.
 	eraShift = 32
-	maxEra   = 1<<31 - 1 // higher eras are sent as unknown
+	eras     = 1 << 31 // that a sequence number tells apart
 )
 
 // message is one datagram.
@@ -57,17 +57,25 @@
 	return appendPlacements(b, m.Placements)
 }
 
-// sequenceIn returns a sequence number that holds the era of the sender's roster.
+// sequenceIn returns a sequence number that holds the era of the sender's roster, modulo eras.
 func sequenceIn(era int64, n uint64) uint64 {
-	if era > maxEra {
-		era = 0
+	return uint64(era%eras)<<eraShift | n&(1<<eraShift-1)
+}
+
+// positionIn returns the position of the sender's roster in a datagram. Of the eras that may be
+// meant it is the one next to that of this instance.
+func positionIn(sequence uint64, mark, own int64) roster.Position {
+	ahead := (int64(sequence>>eraShift) - own%eras + eras) % eras
+	if behind := eras - ahead; behind < ahead && behind <= own {
+		return roster.Position{Era: own - behind, Mark: mark}
 	}
-	return uint64(era)<<eraShift | n&(1<<eraShift-1)
+	return roster.Position{Era: own + ahead, Mark: mark}
 }
 
-// positionIn returns the position of the sender's roster in a datagram.
-func positionIn(sequence uint64, mark int64) roster.Position {
-	return roster.Position{Era: int64(sequence >> eraShift), Mark: mark}
+// outdated reports whether a sequence number is not above the last one of a sender. It falls where
+// the era passes a multiple of eras.
+func outdated(sequence, last uint64) bool {
+	return sequence <= last && last-sequence < eras<<eraShift/2
 }
 
 // appendPlacements encodes placements, with hashes in place of the IDs of upstreams.
--- a/exchange/digestapply.go
+++ b/exchange/digestapply.go
@@ -45,7 +45,7 @@
 	case probeFormat:
 		s.recordProbe(now, from)
 	}
-	s.OnReport(from.Peer, d.Version, positionIn(d.Sequence, d.RosterMark))
+	s.OnReport(from.Peer, d.Version, positionIn(d.Sequence, d.RosterMark, s.Position().Era))
 }
 
 // recordProbe records that an aggregator does not hear this instance. One of this zone
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -83,7 +83,7 @@
 		m.Reports = nil
 	}
 	s.Picker.ApplyReport(now, m.Sender, m.Reports, m.Placements, s.EngineMemory)
-	s.OnReport(from.Peer, m.Version, positionIn(m.Sequence, m.RosterMark))
+	s.OnReport(from.Peer, m.Version, positionIn(m.Sequence, m.RosterMark, s.Position().Era))
 }
 
 // recordReport records the state in a datagram of an instance. It reports false if a
@@ -93,7 +93,7 @@
 	defer s.mu.Unlock()
 	s.fleet.silence.Heard(r.at, sender)
 	last := s.reports[sender]
-	if last.identity == r.identity && r.sequence <= last.sequence {
+	if last.identity == r.identity && outdated(r.sequence, last.sequence) {
 		return false
 	}
 	s.reports[sender] = r
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -260,13 +260,13 @@
 		}
 	}
 	silence := f.silence
-	outageStart, eraBefore := f.outageStart, f.era
+	outageStart, eraBefore, first := f.outageStart, f.era, f.lastAnswer.IsZero()
 	f.outageStart, f.unreachable = time.Time{}, false
 	f.lastAnswer = now
 	f.synced = revision
 	f.era = max(era, eraBefore)
 	f.mu.Unlock()
-	if era > eraBefore && eraBefore > 0 {
+	if era > eraBefore && !first {
 		f.Log.WithFields(logrus.Fields{"Kind": f.Kind, "Era": era, "Before": eraBefore, "Revision": revision}).Warn("the store came back from a copy; listed again")
 	}
 	if outageStart.IsZero() {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -62,8 +62,8 @@
 	// Revision returns the revision of the configuration, or the version of the
 	// route table, in force at this instance.
 	Revision func() int64
-	// StoreEra returns the highest era of the store that is known; may be nil.
-	StoreEra func() int64
+	// StoreEra returns the highest era of the store that is known, and whether one is; may be nil.
+	StoreEra func() (era int64, known bool)
 	// Leaving returns the upstreams that the store lists as leaving; may be nil.
 	Leaving func() []string
 	// OnNewerRevision is called for a peer that has a higher revision.
--- a/heartbeat/registration.go
+++ b/heartbeat/registration.go
@@ -50,7 +50,7 @@
 // registerIn writes the entry of this instance to the store, unless that was done in the
 // present era. A store that came back from a copy may lack it.
 func (s *Service) registerIn(ctx context.Context, r *registration) {
-	era := s.storeEra()
+	era, known := s.storeEra()
 	if r.done && r.era == era {
 		return
 	}
@@ -58,16 +58,16 @@
 		s.Log.WithFields(logrus.Fields{"Era": era, "Before": r.era}).Info("the store came back from a copy: the entry of this instance is written again")
 	}
 	r.done = s.register(ctx)
-	if era == 0 {
-		era = s.storeEra() // as this first call has told
+	if !known {
+		era, _ = s.storeEra() // as this first call has told
 	}
 	r.era = era
 }
 
-// storeEra returns the era of the store, zero if it is not known.
-func (s *Service) storeEra() int64 {
+// storeEra returns the era of the store and whether it is known.
+func (s *Service) storeEra() (era int64, known bool) {
 	if s.StoreEra == nil {
-		return 0
+		return 0, false
 	}
 	return s.StoreEra()
 }
--- a/revision/era.go
+++ b/revision/era.go
@@ -17,6 +17,7 @@
 // it comes back from a copy, which may lack changes that were confirmed.
 type eras struct {
 	seen     int64  // highest era in an answer of the store
+	known    bool   // an answer has named an era
 	restored int64  // highest era that is known to have begun because the store came back from a copy
 	settled  int64  // highest era in which the store has the newest configuration of all instances
 	learned  bool   // other instances were asked for these after the start
@@ -30,15 +31,16 @@
 
 // noticeEra records the era of the store and returns what is known of eras.
 func (m *Manager) noticeEra() eras {
-	era := m.Platform.Era()
+	era, known := m.Platform.KnownEra()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if era > m.eras.seen {
-		if m.eras.seen > 0 {
-			m.eras.restored = max(m.eras.restored, era)
-		}
-		m.eras.seen = era
+	if !known {
+		return m.eras
+	}
+	if m.eras.known && era > m.eras.seen {
+		m.eras.restored = max(m.eras.restored, era)
 	}
+	m.eras.seen, m.eras.known = max(m.eras.seen, era), true
 	return m.eras
 }
 
--- a/revision/era_test.go
+++ b/revision/era_test.go
@@ -29,7 +29,11 @@
 }
 
 func newEraFleet(t *testing.T, n int) *eraFleet {
-	fl := &eraFleet{t: t, store: standin.New()}
+	return newEraFleetOf(t, standin.New(), n)
+}
+
+func newEraFleetOf(t *testing.T, store *standin.Server, n int) *eraFleet {
+	fl := &eraFleet{t: t, store: store}
 	server := httptest.NewServer(fl.store.Handler())
 	t.Cleanup(server.Close)
 	log := logrus.New()
@@ -108,17 +112,19 @@
 // TestLostChangeFoundBeforeNext guards against a change that is applied to the copy although
 // another instance has a confirmed one that the store lost.
 func TestLostChangeFoundBeforeNext(t *testing.T) {
-	fl := newEraFleet(t, 2)
-	second := fl.start()
-	fl.restore()
-	fl.read(1) // tells the era
-	r := fl.apply(1, 3)
-	assert.Equal(t, r.Outcome, Applied, r.Reason)
-	assert.Assert(t, r.Revision > second.Revision)
-	fl.inForce(1, 3)
-	assert.Assert(t, fl.managers[1].Current().record.contains("2"))
-	fl.read(0)
-	fl.inForce(0, 3)
+	for _, first := range []int64{0, 1, 7} {
+		fl := newEraFleetOf(t, standin.NewInEra(first), 2)
+		second := fl.start()
+		fl.restore()
+		fl.read(1) // tells the era
+		r := fl.apply(1, 3)
+		assert.Equal(t, r.Outcome, Applied, r.Reason)
+		assert.Assert(t, r.Revision > second.Revision, "first era %d", first)
+		fl.inForce(1, 3)
+		assert.Assert(t, fl.managers[1].Current().record.contains("2"))
+		fl.read(0)
+		fl.inForce(0, 3)
+	}
 }
 
 // TestNoChangeWhileOneIsSilent guards against a change that is applied while an instance that
--- a/roster/changelog.go
+++ b/roster/changelog.go
@@ -27,7 +27,7 @@
 func (l *entryList) setMark(mark int64) {
 	l.mark = mark
 	if l.unlisted {
-		l.unlisted = false
+		l.unlisted, l.eraKnown = false, true
 		l.completeAfter = mark
 	}
 	for i := len(l.changes) - 1; i >= 0 && l.changes[i].mark == 0; i-- {
--- a/roster/entrylist.go
+++ b/roster/entrylist.go
@@ -38,7 +38,7 @@
 	doubted    map[string]bool // IDs of entries that may be listed from an old copy only
 	doubtUntil time.Time
 	era        int64 // of the store's revisions in mark and revision
-	restored   bool  // an earlier era was known
+	eraKnown   bool  // by a list of the store or of a peer, which may name none
 	// mark rises with each change in an era. It is the revision of the store, shifted by
 	// localMarkBits, plus the number of local changes since that revision.
 	mark int64
--- a/roster/era.go
+++ b/roster/era.go
@@ -55,27 +55,18 @@
 	return Position{Era: l.era, Mark: l.mark}
 }
 
-// resolve returns the position of a peer with the era that is meant. An instance of an
-// earlier build names none: its marks are of the present era as long as this instance has
-// seen no other.
-func (l *entryList) resolve(p Position) Position {
-	if p.Era == 0 && !l.restored {
-		p.Era = l.era
-	}
-	return p
-}
-
-// startEra begins a later era of the store: the store has come back from a copy. What is
-// known of upstreams that leave or are gone holds on, because the copy may be from before.
-// Entries that the copy lacks are retained until their upstreams have written them again.
+// startEra begins an era of the store that is the first one known, or a later one: then the store
+// has come back from a copy. What is known of upstreams that leave or are gone holds on, because the
+// copy may be from before. Entries that the copy lacks are retained until their upstreams have
+// written them again.
 func (l *entryList) startEra(now time.Time, era int64) {
-	if era <= l.era {
+	if l.eraKnown && era <= l.era {
 		return
 	}
-	l.restored = l.era > 0
-	l.era, l.mark, l.revision = era, 0, 0
+	restored := l.eraKnown
+	l.era, l.eraKnown, l.mark, l.revision = era, true, 0, 0
 	l.changes, l.gaps, l.completeAfter, l.unlisted = nil, nil, 0, true
-	if !l.restored {
+	if !restored {
 		return
 	}
 	l.goneBefore, l.gone = l.gone, goneEntries{}
--- a/roster/fetch.go
+++ b/roster/fetch.go
@@ -7,8 +7,7 @@
 	"knapweedwell/route"
 )
 
-// fetchRequest asks a peer for the changes after a mark of an era. Earlier builds send no
-// era.
+// fetchRequest asks a peer for the changes after a mark of an era.
 type fetchRequest struct {
 	Era   int64
 	After int64
@@ -16,7 +15,7 @@
 
 // fetchReply is a peer's answer to a fetchRequest.
 type fetchReply struct {
-	Era      int64 // zero from earlier builds
+	Era      int64
 	Mark     int64
 	Revision int64 // of the store up to which the peer has all changes; zero from earlier builds
 	Whole    bool  // Entries are all entries of the peer, not only the changed ones
@@ -52,7 +51,7 @@
 		f.Retained = append(f.Retained, retainedEntry{ID: id, Millis: until.Sub(now).Milliseconds()})
 	}
 	entries, removed, ok := l.changesAfter(req.After)
-	if asked := l.resolve(Position{Era: req.Era}); ok && asked.Era == l.era {
+	if ok && req.Era == l.era {
 		f.Entries, f.Removed, f.GapEnd = entries, removed, l.lastGapEnd(req.After)
 		for _, id := range removed {
 			if l.gone.entries[id].expired {
@@ -71,8 +70,8 @@
 // applyFetched applies the answer of a peer. It reports whether the answer
 // is newer than the list.
 func (l *entryList) applyFetched(now time.Time, f fetchReply) bool {
-	position := l.resolve(Position{Era: f.Era, Mark: f.Mark})
-	if !l.position().Before(position) || (position.Era > l.era && !f.Whole) {
+	position := Position{Era: f.Era, Mark: f.Mark}
+	if !l.position().Before(position) || (!f.Whole && (!l.eraKnown || position.Era > l.era)) {
 		return false
 	}
 	if position.Era == l.era && f.Revision < l.revision && f.Revision > 0 {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,7 +11,7 @@
 )
 
 // Position orders the states of rosters: by the era of the store, and by the mark within an
-// era. The era is zero if the store, or an instance of an earlier build, names none.
+// era. The era is zero if the store names none.
 type Position struct {
 	Era  int64
 	Mark int64
--- a/roster/service.go
+++ b/roster/service.go
@@ -280,9 +280,6 @@
 
 // behind reports whether this instance lacks a change with the position.
 func (s *Service) behind(p Position) bool {
-	s.mu.Lock()
-	p = s.list.resolve(p)
-	s.mu.Unlock()
 	if !s.Position().Before(p) {
 		return false
 	}
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -157,9 +157,15 @@
 
 // simulateFeatures runs a case with n instances of a deployment that asks for the features.
 func simulateFeatures(t *testing.T, n int, zones, features []string, f func(sim *routeSimulation)) {
+	t.Helper()
+	simulateStore(t, platform.New, n, zones, features, f)
+}
+
+// simulateStore runs a case with n instances and the store that a function returns.
+func simulateStore(t *testing.T, store func() *platform.Server, n int, zones, features []string, f func(sim *routeSimulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		sim := newRouteSimulation(t, n, zones, features)
+		sim := newRouteSimulation(t, store(), n, zones, features)
 		defer sim.close()
 		f(sim)
 	})
@@ -167,9 +173,9 @@
 
 // newRouteSimulation starts the store, three upstreams of each service and n
 // instances, and waits 4 s of virtual time for them to be ready.
-func newRouteSimulation(t *testing.T, n int, zones, features []string) *routeSimulation {
+func newRouteSimulation(t *testing.T, store *platform.Server, n int, zones, features []string) *routeSimulation {
 	sim := &routeSimulation{
-		t: t, network: newNetwork(), store: platform.New(), routesVersion: 1, apiKeys: []string{edgeKey},
+		t: t, network: newNetwork(), store: store, routesVersion: 1, apiKeys: []string{edgeKey},
 		runners: map[string]*runner.Runner{}, hosts: map[string]string{}, services: []string{"calls"},
 		zones: zones, features: features,
 	}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -83,6 +83,11 @@
 
 // New returns an empty object store.
 func New() *Server {
+	return NewInEra(initialEra)
+}
+
+// NewInEra returns an empty object store whose first era has the number.
+func NewInEra(first int64) *Server {
 	return &Server{
 		PageSize: defaultPageSize,
 		kinds:    map[string]map[string]*Object{},
@@ -91,7 +96,7 @@
 		changed:  make(chan struct{}),
 		cut:      make(chan struct{}),
 		calls:    map[string]int64{},
-		era:      initialEra,
+		era:      first,
 		owned:    map[objectKey]ownerWrite{},
 	}
 }
--- a/usage/decide.go
+++ b/usage/decide.go
@@ -107,7 +107,7 @@
 		}
 		found = true
 	}
-	merged, certain := startLedger(known, stored, l.Era, found, revision == 0, lastUncertain(s.Now(), s.Window))
+	merged, certain := startLedger(known, stored, l.Era, found, revision == 0 && !s.Platform.Restored(), lastUncertain(s.Now(), s.Window))
 	if !certain {
 		s.Log.WithFields(logrus.Fields{"Era": l.Era, "Last": merged.Last}).Warn("windows may have been decided that the store does not know; they are not sent")
 	}
--- a/verdictstore/service.go
+++ b/verdictstore/service.go
@@ -63,6 +63,7 @@
 	trials   map[uint64]trial   // answers of the store that still hold, by the part
 	lastRead time.Time
 	readEra  int64 // of the store at the last read
+	read     bool  // the store has been read
 	group    background.Group
 }
 
@@ -246,7 +247,7 @@
 func (s *Service) eraChanged() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readEra != 0 && s.readEra != s.Platform.Era()
+	return s.read && s.readEra != s.Platform.Era()
 }
 
 func (s *Service) lastReadAt() time.Time {
--- a/verdictstore/store.go
+++ b/verdictstore/store.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.readEra = l.Era
+	s.readEra, s.read = l.Era, true
 	s.mu.Unlock()
 	s.applyList(ctx, l)
 	return nil
