Hold versions of the configuration of any size, and zero

With versions above 2^40, such as Unix milliseconds, all datagrams among instances were refused as malformed, so that six of six instances followed the store and none knew the others' requests. A first version 0 was never in force, and every request was answered 503.

Why this works: a version is an int64 from zero on, read exactly, and an instance without a configuration has version -1.

--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -163,8 +163,8 @@
 	return placements
 }
 
-// maxCount bounds the counts, token numbers, version and roster mark in a datagram.
-// A datagram with a larger one is invalid.
+// maxCount bounds the counts and token numbers in a datagram. A datagram with a larger one is
+// invalid.
 const maxCount = 1 << 40
 
 // decode decodes a datagram. The upstreams in the message are hashes.
@@ -177,8 +177,8 @@
 	m.State = member.State(r.bytes(1)[0])
 	m.StoreUnreachable = r.bytes(1)[0] != 0
 	m.Sequence = r.uvarint()
-	m.Version = int64(r.count(maxCount))
-	m.RosterMark = int64(r.count(maxCount))
+	m.Version = int64(r.count(math.MaxInt64))
+	m.RosterMark = int64(r.count(math.MaxInt64))
 	for range r.count(maxEntries) {
 		rep := balancer.Report{Upstream: string(r.bytes(hashBytes))}
 		rep.Counts.Running = r.count(maxCount)
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -151,8 +152,8 @@
 	d.State = member.State(r.bytes(1)[0])
 	d.StoreUnreachable = r.bytes(1)[0] != 0
 	d.Sequence = r.uvarint()
-	d.Version = int64(r.count(maxCount))
-	d.RosterMark = int64(r.count(maxCount))
+	d.Version = int64(r.count(math.MaxInt64))
+	d.RosterMark = int64(r.count(math.MaxInt64))
 	d.Followed = r.bytes(1)[0] != 0
 	d.Scope = scope(r.bytes(1)[0])
 	d.Part, d.Parts = int(r.bytes(1)[0]), int(r.bytes(1)[0])
@@ -202,7 +203,7 @@
 	}
 	// An incarnation is a time in nanoseconds and exceeds maxCount.
 	m.Incarnation = int64(r.uvarint() & (1<<63 - 1))
-	m.Beat = int64(r.count(maxCount))
+	m.Beat = int64(r.count(math.MaxInt64))
 	m.State = member.State(r.bytes(1)[0])
 	return m
 }
--- a/routing/manager.go
+++ b/routing/manager.go
@@ -22,6 +22,9 @@
 	"knapweedwell/transfer"
 )
 
+// NoVersion is the version of an instance that has no table; that of a table is zero or higher.
+const NoVersion = -1
+
 const (
 	transferName = "Routing"
 	// fetchMethod is the method for the whole table. Instances of earlier builds use it.
@@ -99,12 +102,12 @@
 	return m.current.Load()
 }
 
-// Version returns the version in force, zero if there is none.
+// Version returns the version in force, NoVersion if there is none.
 func (m *Manager) Version() int64 {
 	if t := m.Current(); t != nil {
 		return t.Version
 	}
-	return 0
+	return NoVersion
 }
 
 // Transfers returns the numbers of bytes and fetches of tables between instances.
--- a/transfer/offer.go
+++ b/transfer/offer.go
@@ -17,6 +17,8 @@
 	maxEncodings     = 8
 	maxNamedReaders  = 3 // readers named to one that has to wait
 	maxServedReaders = 64
+
+	noVersion = -1 // is below all versions
 )
 
 // Value is one version of what is passed on. It is not changed once it is set.
--- a/transfer/sources.go
+++ b/transfer/sources.go
@@ -36,7 +36,7 @@
 // add records that an instance has a version. If there are too many, another one is
 // forgotten.
 func (ss *sources) add(address string, version int64) {
-	if version <= ss.refused[address] {
+	if refused, ok := ss.refused[address]; ok && version <= refused {
 		return
 	}
 	if s := ss.known[address]; s != nil {
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -35,7 +35,7 @@
 
 	offerMu sync.Mutex
 	offer   offer
-	version atomic.Int64
+	version atomic.Int64 // noVersion if there is none
 
 	mu       sync.Mutex
 	sources  sources
@@ -56,6 +56,7 @@
 // Prepare registers the method of the value. It is called before the peer node runs.
 func (s *Service) Prepare() {
 	s.sources = newSources()
+	s.version.Store(noVersion)
 	s.Peers.Handle(s.method(), s.serve)
 }
 
