Ask a peer for its whole list when its changes cannot be taken

Cause: a refused answer was dropped, whatever the reason, and the next question was the same.

Why this works: changes that cannot be taken are followed by a request for the whole list, which any build gives to one that names no mark. It is counted and logged.

After: two questions, and the peer's list and position are in force.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -283,6 +283,7 @@
 		era, _ := i.storeEra()
 		return float64(era)
 	})
+	i.metrics.Gauge("knapweedwell_roster_refused_total", func() float64 { return float64(i.Roster.Refused()) })
 	i.metrics.Gauge("knapweedwell_store_calls_total", func() float64 { return float64(i.store.Calls()) })
 	i.metrics.Gauge("knapweedwell_upstream_connections_total", func() float64 {
 		dialed, _ := i.connections.Counts()
--- a/roster/service.go
+++ b/roster/service.go
@@ -57,6 +57,7 @@
 	follower *follow.Follower
 	fetcher  follow.PeerFetcher
 	group    background.Group
+	refused  atomic.Int64
 }
 
 // Prepare registers the handler of Roster.Fetch. It is called before the peer
@@ -288,13 +289,35 @@
 }
 
 func (s *Service) fetch(ctx context.Context, address string) {
-	var f fetchReply
 	own := s.Position()
-	if err := follow.CallPeer(ctx, s.Peers, address, fetchMethod, fetchRequest{Era: own.Era, After: own.Mark}, &f); err != nil {
+	f, err := s.fetchAfter(ctx, address, own)
+	if err == nil && !f.Whole && s.Position().Before(Position{Era: f.Era, Mark: f.Mark}) {
+		s.refused.Add(1)
+		s.Log.WithFields(logrus.Fields{
+			"Peer": address, "Era": f.Era, "Mark": f.Mark, "OwnEra": own.Era, "OwnMark": own.Mark,
+		}).Warn("changes of upstreams from a peer cannot be taken, and its whole list is asked for")
+		_, err = s.fetchAfter(ctx, address, Position{Era: own.Era})
+	}
+	if err != nil {
 		s.Log.WithFields(logrus.Fields{"Peer": address, "Error": err.Error()}).Warn("roster was not fetched from a peer")
-		return
 	}
-	s.update(false, func(l *entryList) bool { return l.applyFetched(time.Now(), f) })
+}
+
+// fetchAfter fetches the changes after a position from a peer, all entries if it has no mark, and
+// applies them.
+func (s *Service) fetchAfter(ctx context.Context, address string, p Position) (fetchReply, error) {
+	var f fetchReply
+	err := follow.CallPeer(ctx, s.Peers, address, fetchMethod, fetchRequest{Era: p.Era, After: p.Mark}, &f)
+	if err == nil {
+		s.update(false, func(l *entryList) bool { return l.applyFetched(time.Now(), f) })
+	}
+	return f, err
+}
+
+// Refused returns how often changes from a peer could not be taken, so that its whole list was
+// fetched.
+func (s *Service) Refused() int64 {
+	return s.refused.Load()
 }
 
 func (s *Service) serveFetch(_ context.Context, _ string, params json.RawMessage) (any, error) {
