Take an answer whose end is not plain for a broken one

Cause: the library's parser drops what a head says beside what it goes by. It ignores Transfer-Encoding in HTTP/1.0, Content-Length beside Transfer-Encoding and in status 204, a second equal Content-Length, folds, and a field with a space before its colon; and it takes any version. After it nothing shows that.

Why this works: the bytes of each head, interim answers included, are read once more as they come from the connection, and an answer whose end is not plain is an error before any of it is passed on.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -66,7 +66,7 @@
 	upstream  string
 	requestID string // of the most recent request
 	raw       net.Conn
-	source    *headLimiter
+	source    *headReader
 	reader    *bufio.Reader
 	head      bytes.Buffer // head of the most recent request
 	Reused    bool         // whether an earlier request was answered on the connection
@@ -130,7 +130,7 @@
 		return nil, &notSentError{cause: errors.Wrapf(err, "dial %s", address)}
 	}
 	p.dialed.Add(1)
-	source := &headLimiter{raw: raw, left: unlimited}
+	source := &headReader{raw: raw, left: unlimited}
 	return &Conn{
 		upstream:    upstream,
 		requestID:   requestID,
@@ -142,27 +142,29 @@
 	}, nil
 }
 
-// headLimiter reads from a connection and fails while a head is read that is longer
-// than allowed. The library that parses heads has no limit.
-type headLimiter struct {
-	raw  net.Conn
-	left int   // bytes that may still be read for the head, unlimited outside of heads
-	err  error // of the last read
+// headReader reads from a connection. It notes what heads say of where their answers end, and fails
+// while a head is read that is longer than allowed. The library that parses heads has no limit.
+type headReader struct {
+	raw     net.Conn
+	left    int   // bytes that may still be read for the head, unlimited outside of heads
+	err     error // of the last read
+	framing framing
 }
 
 // Read reads up to the limit.
-func (l *headLimiter) Read(p []byte) (int, error) {
+func (h *headReader) Read(p []byte) (int, error) {
 	var n int
-	if l.left == unlimited {
-		n, l.err = l.raw.Read(p)
-		return n, l.err
+	if h.left == unlimited {
+		n, h.err = h.raw.Read(p)
+		return n, h.err
 	}
-	if l.left == 0 {
+	if h.left == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, l.err = l.raw.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, l.err
+	n, h.err = h.raw.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	h.framing.read(p[:n])
+	return n, h.err
 }
 
 // notSentError marks a failure before anything was sent.
@@ -349,10 +351,16 @@
 
 // ReadResponse reads the head of the next answer and skips interim answers
 // (1xx). The body of the returned answer is read from the connection. A head of more
-// than maxHeadBytes is an error, and so is one whose status is none of HTTP.
+// than maxHeadBytes is an error, and so is one whose status is none of HTTP, or that does not
+// say plainly where the answer ends.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
-	c.source.left = maxHeadBytes
+	c.source.left, c.source.framing = maxHeadBytes, framing{}
 	defer func() { c.source.left = unlimited }()
+	if n := c.reader.Buffered(); n > 0 {
+		// They came with the answer before.
+		early, _ := c.reader.Peek(n)
+		c.source.framing.read(early)
+	}
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -364,6 +372,9 @@
 		if err := CheckStatus(resp.StatusCode); err != nil {
 			return nil, err
 		}
+		if err := c.source.framing.check(resp); err != nil {
+			return nil, err
+		}
 		c.checkBodyEnd(resp)
 		return resp, nil
 	}
