Bound the prompt parts that all upstreams are assumed to hold

Cause: the cache of an upstream was bounded by the tokens of its parts only: 158,000 parts of 4 tokens, and any number without tokens.

Why this works: the caches of all upstreams share a bound of 131,072 parts. Beyond it the part goes that is worth least: of the smallest size class, the least recently used, so that large shared parts are kept. Upstreams that have restarted or are not used any more give their parts back.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -281,7 +281,7 @@
 	for id, s := range p.states {
 		var own []Placement
 		for e := s.cache.recent.Front(); e != nil && len(own) < perUpstream; e = e.Next() {
-			part := e.Value.(cachedPart)
+			part := e.Value.(*cachedPart)
 			own = append(own, Placement{Upstream: id, Part: part.id, Tokens: part.tokens})
 		}
 		slices.Reverse(own)
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -103,7 +103,8 @@
 	connectSeconds  map[string]float64  // seconds to connect, by zone
 	peerStates      map[string][]*state // states that hold counts of a peer, by its name
 	candidateStates []*state            // states of the candidates of the choice in progress
-	placements      []Placement         // parts sent to upstreams since the last report
+	cachedParts     cachedParts
+	placements      []Placement // parts sent to upstreams since the last report
 	sweptAt         time.Time
 	lastPauseEnd    time.Time // no upstream is paused from then on
 }
@@ -321,9 +322,10 @@
 func (p *Picker) state(now time.Time, u *route.Upstream) *state {
 	s := p.states[u.ID]
 	if s == nil || s.born != u.Born {
-		fresh := newState(u.ID, u.Born)
+		fresh := newState(u.ID, u.Born, &p.cachedParts)
 		if s != nil {
 			fresh.peers = s.peers
+			s.cache.clear()
 		}
 		p.states[u.ID] = fresh
 		s = fresh
@@ -350,6 +352,7 @@
 	p.sweptAt = now
 	for id, s := range p.states {
 		if now.Sub(s.usedAt) > stateLifetime && s.running == 0 && !now.Before(s.pausedUntil) {
+			s.cache.clear()
 			delete(p.states, id)
 		}
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -55,8 +55,8 @@
 	distance distance
 }
 
-func newState(id string, born int64) *state {
-	return &state{born: born, hash: xxhash.Sum64String(id), peers: map[string]Counts{}, peerGapRatios: map[string]gapRatio{}, splitKey: math.Inf(1)}
+func newState(id string, born int64, all *cachedParts) *state {
+	return &state{born: born, cache: cache{all: all}, hash: xxhash.Sum64String(id), peers: map[string]Counts{}, peerGapRatios: map[string]gapRatio{}, splitKey: math.Inf(1)}
 }
 
 // Counts are the numbers of one instance's requests at an upstream.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -277,6 +277,14 @@
 	i.metrics.Gauge("knapweedwell_quarantined_parts", func() float64 { return float64(len(i.Quarantine.Verdicts(time.Now()))) })
 	i.metrics.Gauge("knapweedwell_quarantine_refusals_total", func() float64 { return float64(i.Quarantine.Refusals()) })
 	i.metrics.Gauge("knapweedwell_limited_upstreams", func() float64 { return float64(i.Limits.Limited()) })
+	i.metrics.Gauge("knapweedwell_cached_parts", func() float64 {
+		held, _ := i.picker.CachedPartCounts()
+		return float64(held)
+	})
+	i.metrics.Gauge("knapweedwell_cached_parts_evicted_total", func() float64 {
+		_, evicted := i.picker.CachedPartCounts()
+		return float64(evicted)
+	})
 	i.metrics.Gauge("knapweedwell_body_memory_bytes", func() float64 { return float64(i.Forward.Memory.Used()) })
 	i.metrics.Gauge("knapweedwell_body_memory_refused_total", func() float64 { return float64(i.Forward.Memory.Refused()) })
 	i.metrics.Gauge("knapweedwell_store_era", func() float64 {
