Bound what the heads of all answers take together, as parsed

Cause: a head was bounded to 64 KB as received, but 13,000 fields take twenty times that once parsed, and the number of such heads had no bound.

Why this works: a head counts with its bytes and 256 for each field, as its lines come, and beyond 8 KB takes of a quarter of the memory for bodies. Without room the answer is a broken one. Ordinary heads take none of it.

--- a/buffer/memory.go
+++ b/buffer/memory.go
@@ -6,6 +6,9 @@
 // the first use. Its methods may be called concurrently.
 type Memory struct {
 	Limit int64 // bytes; zero means no limit
+	// Whole is the memory of which this is a part: what is taken of the part is taken of the whole,
+	// too. It may be nil.
+	Whole *Memory
 
 	used    atomic.Int64
 	refused atomic.Int64
@@ -14,7 +17,9 @@
 // reserve takes bytes and reports whether there were as many left.
 func (m *Memory) reserve(n int64) bool {
 	if used := m.used.Add(n); m.Limit <= 0 || used <= m.Limit {
-		return true
+		if m.Whole == nil || m.Whole.reserve(n) {
+			return true
+		}
 	}
 	m.used.Add(-n)
 	m.refused.Add(1)
@@ -33,6 +38,9 @@
 // release returns bytes that were reserved.
 func (m *Memory) release(n int64) {
 	m.used.Add(-n)
+	if m.Whole != nil {
+		m.Whole.release(n)
+	}
 }
 
 // Used returns the number of bytes that are reserved.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -45,6 +45,7 @@
 
 	megabyte          = 1 << 20
 	bodyMemoryPercent = 30 // part of the process's memory for bodies; as much again may be garbage
+	headMemoryPercent = 25 // part of that for bodies that heads of answers may take
 )
 
 // Instance holds the services of one instance. The exported fields up to Check are
@@ -79,6 +80,7 @@
 	kernel      *kernel.Kernel
 	store       *platform.Client
 	connections *httpwire.ConnPool
+	bodies      *buffer.Memory
 	picker      *balancer.Picker
 	metrics     *metric.Registry
 	clients     *clients
@@ -94,7 +96,11 @@
 	i.metrics = metric.New()
 	i.store = platform.New(i.Settings.Platform, i.Dial)
 	i.buildClients()
-	i.connections = &httpwire.ConnPool{Dial: (&limitedDialer{dial: i.Dial, limit: i.clients.limits.Upstreams}).Dial}
+	i.bodies = &buffer.Memory{Limit: int64(i.Settings.Routes.MemoryMegabytes) * megabyte * bodyMemoryPercent / 100}
+	i.connections = &httpwire.ConnPool{
+		Dial:       (&limitedDialer{dial: i.Dial, limit: i.clients.limits.Upstreams}).Dial,
+		HeadMemory: &buffer.Memory{Limit: i.bodies.Limit * headMemoryPercent / 100, Whole: i.bodies},
+	}
 	i.Quarantine = &quarantine.Quarantine{Log: i.Log}
 	i.buildPlacing()
 	i.buildMembership()
@@ -250,7 +256,7 @@
 		Quarantine:       i.Quarantine,
 		Limits:           i.Limits,
 		Admission:        i.buildAdmission(),
-		Memory:           &buffer.Memory{Limit: int64(r.MemoryMegabytes) * megabyte * bodyMemoryPercent / 100},
+		Memory:           i.bodies,
 		Metrics:          i.metrics,
 		Check:            i.Check,
 		Log:              i.Log,
@@ -285,6 +291,8 @@
 		_, evicted := i.picker.CachedPartCounts()
 		return float64(evicted)
 	})
+	i.metrics.Gauge("knapweedwell_answer_head_bytes", func() float64 { return float64(i.connections.HeadMemory.Used()) })
+	i.metrics.Gauge("knapweedwell_answer_heads_refused_total", func() float64 { return float64(i.connections.HeadMemory.Refused()) })
 	i.metrics.Gauge("knapweedwell_body_memory_bytes", func() float64 { return float64(i.Forward.Memory.Used()) })
 	i.metrics.Gauge("knapweedwell_body_memory_refused_total", func() float64 { return float64(i.Forward.Memory.Refused()) })
 	i.metrics.Gauge("knapweedwell_store_era", func() float64 {
--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"knapweedwell/buffer"
 )
 
 const (
@@ -31,9 +33,18 @@
 	maxIdlePerUpstream = 48
 	maxHeadBytes       = 64 << 10 // limit of the head of an answer, interim answers included
 	unlimited          = -1
+
+	// fieldBytes is about what a parsed field of a head takes beside its text.
+	fieldBytes = 256
+	// A head takes of the memory for heads what it takes beyond freeHeadBytes, in steps.
+	freeHeadBytes = 8 << 10
+	headStepBytes = 4 << 10
 )
 
-var errHeadTooLarge = errors.New("the head of the answer is too large")
+var (
+	errHeadTooLarge = errors.New("the head of the answer is too large")
+	errHeadsSpent   = errors.New("the memory for heads of answers is spent")
+)
 
 // ErrNotSent means that no byte of the request was sent.
 var ErrNotSent = errors.New("the request was not sent")
@@ -50,9 +61,12 @@
 	Body   []byte
 }
 
-// ConnPool keeps idle connections by upstream. Dial is set before the first call.
+// ConnPool keeps idle connections by upstream. The exported fields are set before the first call.
 type ConnPool struct {
 	Dial Dialer
+	// HeadMemory bounds what the heads of all answers that are being read or relayed take
+	// together, parsed; nil means no bound. Heads of up to freeHeadBytes take nothing of it.
+	HeadMemory *buffer.Memory
 
 	mu     sync.Mutex
 	idle   map[string][]*Conn
@@ -130,7 +144,7 @@
 		return nil, &notSentError{cause: errors.Wrapf(err, "dial %s", address)}
 	}
 	p.dialed.Add(1)
-	source := &headReader{raw: raw, left: unlimited}
+	source := &headReader{raw: raw, left: unlimited, held: buffer.Buffer{Memory: p.HeadMemory}}
 	return &Conn{
 		upstream:    upstream,
 		requestID:   requestID,
@@ -149,6 +163,39 @@
 	left    int   // bytes that may still be read for the head, unlimited outside of heads
 	err     error // of the last read
 	framing framing
+	taken   int           // bytes of the head that were read
+	held    buffer.Buffer // what the head takes of the memory for heads
+	counted int           // bytes of that
+}
+
+// begin begins the head of an answer, of which the given bytes came with the answer before.
+func (h *headReader) begin(early []byte) {
+	h.free()
+	h.left, h.framing, h.taken = maxHeadBytes, framing{}, 0
+	h.framing.read(early)
+}
+
+// free gives back what the head takes.
+func (h *headReader) free() {
+	if h.held.Memory != nil {
+		h.held.Free()
+	}
+	h.counted = 0
+}
+
+// count takes of the memory for heads what the head takes, parsed.
+func (h *headReader) count(n int) error {
+	h.taken += n
+	cost := h.taken + h.framing.lines*fieldBytes - freeHeadBytes
+	if h.held.Memory == nil || cost <= h.counted {
+		return nil
+	}
+	step := (cost - h.counted + headStepBytes - 1) / headStepBytes * headStepBytes
+	if h.held.Reserve(int64(step)) != nil {
+		return errHeadsSpent
+	}
+	h.counted += step
+	return nil
 }
 
 // Read reads up to the limit.
@@ -164,6 +211,9 @@
 	n, h.err = h.raw.Read(p[:min(len(p), h.left)])
 	h.left -= n
 	h.framing.read(p[:n])
+	if err := h.count(n); err != nil {
+		return 0, err
+	}
 	return n, h.err
 }
 
@@ -186,6 +236,7 @@
 // sent bytes that belong to no request.
 func (p *ConnPool) Put(c *Conn, answer *http.Response) {
 	c.readKeepAlive(answer)
+	c.source.free()
 	if answer.Close || c.idleTimeout < minIdleTimeout || c.reader.Buffered() > 0 {
 		c.Close()
 		return
@@ -294,6 +345,7 @@
 // Close closes the connection.
 func (c *Conn) Close() {
 	_ = c.raw.Close()
+	c.source.free()
 }
 
 // ClosedByUpstream reports whether the upstream has closed or reset the connection, as
@@ -354,13 +406,9 @@
 // than maxHeadBytes is an error, and so is one whose status is none of HTTP, or that does not
 // say plainly where the answer ends.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
-	c.source.left, c.source.framing = maxHeadBytes, framing{}
+	early, _ := c.reader.Peek(c.reader.Buffered())
+	c.source.begin(early)
 	defer func() { c.source.left = unlimited }()
-	if n := c.reader.Buffered(); n > 0 {
-		// They came with the answer before.
-		early, _ := c.reader.Peek(n)
-		c.source.framing.read(early)
-	}
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
