--- a/httpwire/headmemory_test.go
+++ b/httpwire/headmemory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -80,7 +79,7 @@
 	assert.NilError(t, err)
 	body, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
-	assert.Equal(t, fmt.Sprintf("%s", body), "ok")
+	assert.Equal(t, string(body), "ok")
 	for _, c := range kept {
 		c.source.free()
 	}
