Judge a version only against one that the process has reported

Cause: the check took the zero of a map for the version that a process had reported before. It has reported -1 for "no configuration" since versions may be 0.

Why this works: the first report of a process is compared with none, and every later one with the one before, so that a fall to -1 is still a violation.

--- a/soak/check.go
+++ b/soak/check.go
@@ -251,8 +251,8 @@
 			}
 			tb.countCheck(neverReverts)
 			key := incarnation{n, after}
-			if s.Version < seen[key] {
-				tb.reportViolation(neverReverts, "%s went from version %d to %d", n.name, seen[key], s.Version)
+			if last, known := seen[key]; known && s.Version < last {
+				tb.reportViolation(neverReverts, "%s went from version %d to %d", n.name, last, s.Version)
 			}
 			seen[key] = s.Version
 		}
