Take a negative number of tokens of a prompt part for none

What callers saw: nothing so far. Another instance that reports a part with a negative number of tokens would have ended the process, since parts have classes by their size.

Cause: the number of another instance was used as it came.

Evidence: balancer.TestPartsOfAnySize, which panicked before.

--- a/balancer/cache.go
+++ b/balancer/cache.go
@@ -65,7 +65,7 @@
 	if c.parts == nil {
 		c.parts = map[uint64]*cachedPart{}
 	}
-	part := &cachedPart{id: id, tokens: min(tokens, maxPartTokens), cache: c}
+	part := &cachedPart{id: id, tokens: min(max(tokens, 0), maxPartTokens), cache: c}
 	part.own = c.recent.PushFront(part)
 	c.parts[id] = part
 	c.tokens += part.tokens
--- a/balancer/cachedparts_test.go
+++ b/balancer/cachedparts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
 	"testing"
 	"time"
@@ -85,3 +86,15 @@
 	assert.Equal(t, len(p.states), 0)
 	assert.Equal(t, p.cachedParts.count, 0)
 }
+
+// TestPartsOfAnySize guards against the number of tokens of a part, as another instance reports it, that
+// makes the process end or the sum of a cache negative.
+func TestPartsOfAnySize(t *testing.T) {
+	p, now := New("z", nil), time.Unix(1000, 0)
+	u := &route.Upstream{ID: "u", Slots: 8}
+	for id, tokens := range []int{math.MinInt, -1, 0, math.MaxInt, math.MaxInt} {
+		c := &p.state(now, u).cache
+		c.add(uint64(id), tokens, 1000)
+		assert.Assert(t, c.tokens >= 0, "%d tokens after one of %d", c.tokens, tokens)
+	}
+}
